--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ENUMER_VERSION := v1.7.2
 
 BIN := $(CURDIR)/bin
-PROGRAMS := dock keeper dockctl standin
+PROGRAMS := dock keeper routedock routekeeper dockctl standin
 MODULES := . $(addprefix ./cmd/,$(PROGRAMS))
 PACKAGES := $(addsuffix /...,$(MODULES))
 
--- /dev/null
+++ b/internal/broadcaster/broadcaster.go
@@ -0,0 +1,206 @@
+// Package broadcaster is a keeper's side towards docks: it takes in the heartbeats of backend
+// servers and tells the docks that watch it at once what has changed, in the directory or in
+// the committed configuration.
+package broadcaster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/timekeeper"
+)
+
+const (
+	// sweepInterval is how often servers are checked for silence.
+	sweepInterval = 250 * time.Millisecond
+	// maxChanges bounds the changes that are kept for docks that lag. Who lags more gets the
+	// whole directory.
+	maxChanges = 4096
+	// maxWait bounds how long a watch may wait.
+	maxWait = 5 * time.Second
+	// dockTime is how long a dock counts after its last watch.
+	dockTime = 5 * time.Second
+)
+
+// Standing is what the broadcaster tells of the agreement.
+type Standing struct {
+	// Configuration is the number of the committed configuration that is applied here.
+	Configuration uint64
+	IsVoter       bool
+	IsLeader      bool
+	// Members are the voters and, on the leader, those that it teaches.
+	Members       []encoder.KeeperMember
+	MembersDigest uint64
+	Voters        int
+}
+
+// Broadcaster serves the docks of one keeper. It is safe for concurrent use.
+type Broadcaster struct {
+	// Set at creation.
+	self     identifier.Incarnation
+	clock    timekeeper.Clock
+	standing func() Standing
+	stop     chan struct{}
+	tasks    sync.WaitGroup
+
+	// Guarded by mutex.
+	mutex sync.Mutex
+	book  *locator.Book
+	// changes are the last ones; base is the number of those before.
+	changes []encoder.Registration
+	base    uint64
+	docks   map[identifier.HostName]time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// New starts a Broadcaster. Silence is how long a server may send no heartbeat.
+func New(self identifier.Incarnation, silence time.Duration, standing func() Standing, clock timekeeper.Clock) *Broadcaster {
+	b := &Broadcaster{
+		self:     self,
+		clock:    clock,
+		standing: standing,
+		stop:     make(chan struct{}),
+		book:     locator.NewBook(silence),
+		docks:    map[identifier.HostName]time.Time{},
+		changed:  make(chan struct{}),
+	}
+	b.tasks.Add(1)
+	go b.loop()
+	return b
+}
+
+// Close ends the loop and all watches.
+func (b *Broadcaster) Close() {
+	close(b.stop)
+	b.tasks.Wait()
+}
+
+// loop looks for silent servers.
+func (b *Broadcaster) loop() {
+	defer b.tasks.Done()
+	ticker := b.clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-b.stop:
+			return
+		case <-ticker.C:
+			b.update(func(now time.Time) []encoder.Registration { return b.book.Sweep(now) })
+		}
+	}
+}
+
+// Beat takes in a heartbeat and returns what it changed.
+func (b *Broadcaster) Beat(r encoder.Registration) []encoder.Registration {
+	return b.update(func(now time.Time) []encoder.Registration { return b.book.Beat(now, r) })
+}
+
+// Leave ends a server and returns what that changed.
+func (b *Broadcaster) Leave(id encoder.ServerID, born int64) []encoder.Registration {
+	return b.update(func(now time.Time) []encoder.Registration { return b.book.Leave(now, id, born) })
+}
+
+// Depart takes in another keeper's word of a server that leaves.
+func (b *Broadcaster) Depart(r encoder.Registration) {
+	b.update(func(now time.Time) []encoder.Registration { return b.book.Depart(now, r) })
+}
+
+// Notify wakes the docks because the committed configuration or the members changed.
+func (b *Broadcaster) Notify() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.wake()
+}
+
+// update changes the book and wakes the docks.
+func (b *Broadcaster) update(change func(now time.Time) []encoder.Registration) []encoder.Registration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	changed := change(b.clock.Now())
+	if len(changed) == 0 {
+		return nil
+	}
+	b.changes = append(b.changes, changed...)
+	if excess := len(b.changes) - maxChanges; excess > 0 {
+		b.changes = append([]encoder.Registration{}, b.changes[excess:]...)
+		b.base += uint64(excess)
+	}
+	b.wake()
+	return changed
+}
+
+// wake lets all watches look again. The caller holds the lock.
+func (b *Broadcaster) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Watch answers a dock as soon as there is news for it, or when its time is up.
+func (b *Broadcaster) Watch(ctx context.Context, dock identifier.HostName, request encoder.WatchRequest) encoder.WatchReply {
+	timer := b.clock.NewTimer(min(request.Wait, maxWait))
+	defer timer.Stop()
+	isDue := false
+	for {
+		reply, hasNews, changed := b.look(dock, request)
+		if hasNews || isDue {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			isDue = true
+		case <-ctx.Done():
+			isDue = true
+		case <-b.stop:
+			isDue = true
+		}
+	}
+}
+
+// look returns what is new for a dock, and the channel to wait on if nothing is.
+func (b *Broadcaster) look(dock identifier.HostName, request encoder.WatchRequest) (encoder.WatchReply, bool, <-chan struct{}) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	// The channel is taken before the standing, so that a change in between is noticed.
+	changed := b.changed
+	s := b.standing()
+	now := b.clock.Now()
+	b.docks[dock] = now
+	reply := encoder.WatchReply{
+		Keeper:        b.self,
+		Seen:          b.base + uint64(len(b.changes)),
+		Configuration: s.Configuration,
+		IsVoter:       s.IsVoter,
+		IsLeader:      s.IsLeader,
+		MembersDigest: s.MembersDigest,
+		Voters:        s.Voters,
+		Docks:         b.countDocks(now),
+	}
+	if s.MembersDigest != request.MembersDigest {
+		reply.Members = s.Members
+	}
+	if request.Keeper != b.self || request.Seen < b.base || request.Seen > reply.Seen {
+		reply.IsWhole = true
+		reply.Servers = b.book.All(now)
+	} else {
+		reply.Servers = b.changes[request.Seen-b.base:]
+	}
+	hasNews := reply.IsWhole || len(reply.Servers) > 0 || s.Configuration > request.Configuration ||
+		s.IsLeader && s.MembersDigest != request.MembersDigest
+	return reply, hasNews, changed
+}
+
+// countDocks returns how many docks watch this keeper. The caller holds the lock.
+func (b *Broadcaster) countDocks(now time.Time) int {
+	for name, heard := range b.docks {
+		if now.Sub(heard) > dockTime+maxWait {
+			delete(b.docks, name)
+		}
+	}
+	return len(b.docks)
+}
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -13,6 +13,8 @@
 //go:generate ../../bin/enumer -type SettleOutcome -trimprefix Settle -transform snake -text -output settleoutcome_enumer.go
 //go:generate ../../bin/enumer -type SubmitOutcome -trimprefix Submit -transform snake -text -output submitoutcome_enumer.go
 
+//go:generate ../../bin/enumer -type Presence -trimprefix Presence -transform snake -text -output presence_enumer.go
+
 import (
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -71,4 +73,12 @@
 	KindQuarantine
 	// KindCanary carries a CanaryRequest from a root dock to the owner of a fingerprint.
 	KindCanary
+	// KindWatch carries a WatchRequest from a dock to any keeper.
+	KindWatch
+	// KindFetch carries a FetchRequest from a dock to any keeper.
+	KindFetch
+	// KindConfirm carries a ConfirmRequest from a keeper to the leading keeper.
+	KindConfirm
+	// KindDepart carries a Registration that ends from one keeper to another.
+	KindDepart
 )
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanary"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepart"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanary"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepart"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -36,38 +36,50 @@
 	_ = x[KindAgreement-9]
 	_ = x[KindQuarantine-10]
 	_ = x[KindCanary-11]
+	_ = x[KindWatch-12]
+	_ = x[KindFetch-13]
+	_ = x[KindConfirm-14]
+	_ = x[KindDepart-15]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart}
 
 var _KindNameToValueMap = map[string]Kind{
-	_KindName[0:4]:   KindNone,
-	_KindName[4:15]:  KindShardBatch,
-	_KindName[15:23]: KindHandover,
-	_KindName[23:27]: KindPoll,
-	_KindName[27:32]: KindClaim,
-	_KindName[32:38]: KindSettle,
-	_KindName[38:44]: KindSubmit,
-	_KindName[44:50]: KindStatus,
-	_KindName[50:56]: KindEvents,
-	_KindName[56:65]: KindAgreement,
-	_KindName[65:75]: KindQuarantine,
-	_KindName[75:81]: KindCanary,
+	_KindName[0:4]:    KindNone,
+	_KindName[4:15]:   KindShardBatch,
+	_KindName[15:23]:  KindHandover,
+	_KindName[23:27]:  KindPoll,
+	_KindName[27:32]:  KindClaim,
+	_KindName[32:38]:  KindSettle,
+	_KindName[38:44]:  KindSubmit,
+	_KindName[44:50]:  KindStatus,
+	_KindName[50:56]:  KindEvents,
+	_KindName[56:65]:  KindAgreement,
+	_KindName[65:75]:  KindQuarantine,
+	_KindName[75:81]:  KindCanary,
+	_KindName[81:86]:  KindWatch,
+	_KindName[86:91]:  KindFetch,
+	_KindName[91:98]:  KindConfirm,
+	_KindName[98:104]: KindDepart,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
-	_KindLowerName[0:4]:   KindNone,
-	_KindLowerName[4:15]:  KindShardBatch,
-	_KindLowerName[15:23]: KindHandover,
-	_KindLowerName[23:27]: KindPoll,
-	_KindLowerName[27:32]: KindClaim,
-	_KindLowerName[32:38]: KindSettle,
-	_KindLowerName[38:44]: KindSubmit,
-	_KindLowerName[44:50]: KindStatus,
-	_KindLowerName[50:56]: KindEvents,
-	_KindLowerName[56:65]: KindAgreement,
-	_KindLowerName[65:75]: KindQuarantine,
-	_KindLowerName[75:81]: KindCanary,
+	_KindLowerName[0:4]:    KindNone,
+	_KindLowerName[4:15]:   KindShardBatch,
+	_KindLowerName[15:23]:  KindHandover,
+	_KindLowerName[23:27]:  KindPoll,
+	_KindLowerName[27:32]:  KindClaim,
+	_KindLowerName[32:38]:  KindSettle,
+	_KindLowerName[38:44]:  KindSubmit,
+	_KindLowerName[44:50]:  KindStatus,
+	_KindLowerName[50:56]:  KindEvents,
+	_KindLowerName[56:65]:  KindAgreement,
+	_KindLowerName[65:75]:  KindQuarantine,
+	_KindLowerName[75:81]:  KindCanary,
+	_KindLowerName[81:86]:  KindWatch,
+	_KindLowerName[86:91]:  KindFetch,
+	_KindLowerName[91:98]:  KindConfirm,
+	_KindLowerName[98:104]: KindDepart,
 }
 
 var _KindNames = []string{
@@ -83,6 +95,10 @@
 	_KindName[56:65],
 	_KindName[65:75],
 	_KindName[75:81],
+	_KindName[81:86],
+	_KindName[86:91],
+	_KindName[91:98],
+	_KindName[98:104],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- /dev/null
+++ b/internal/encoder/watch.go
@@ -0,0 +1,96 @@
+package encoder
+
+import (
+	"net/netip"
+	"time"
+
+	"banyandock.example/banyandock/internal/identifier"
+)
+
+// ServerID names one backend server across its restarts.
+type ServerID string
+
+// Presence says whether a registered backend server takes work. Within one start of a
+// server it only grows.
+type Presence uint8
+
+// Presences.
+const (
+	// PresenceReady servers take work.
+	PresenceReady Presence = iota
+	// PresenceDraining servers are leaving and must receive no new work.
+	PresenceDraining
+	// PresenceGone servers have left, or another server has their address.
+	PresenceGone
+)
+
+// Registration describes one start of a backend server of an opaque service.
+type Registration struct {
+	ID      ServerID               `msgpack:"i"`
+	Service identifier.ServiceName `msgpack:"v,omitempty"`
+	Address netip.AddrPort         `msgpack:"a"`
+	Domain  identifier.DomainName  `msgpack:"d,omitempty"`
+	Slots   int                    `msgpack:"l,omitempty"`
+	State   Presence               `msgpack:"s,omitempty"`
+	// Born is when the server started, in milliseconds of Unix time by its own clock. It
+	// orders the starts under one ID and the servers that had one address.
+	Born int64 `msgpack:"b"`
+	// Sequence orders the heartbeats of one start.
+	Sequence uint64 `msgpack:"q,omitempty"`
+	// Cold is how much longer the server is slow after its start, as of the sending.
+	Cold time.Duration `msgpack:"c,omitempty"`
+	// Silent says that the keeper has missed several heartbeats.
+	Silent bool `msgpack:"n,omitempty"`
+}
+
+// WatchRequest asks a keeper for what changed since an earlier reply. The keeper answers at
+// once if anything has, and else when something does or Wait has passed.
+type WatchRequest struct {
+	// Keeper is the process that Seen belongs to. Another process answers with everything.
+	Keeper identifier.Incarnation
+	// Seen is the last change of the directory that the dock took in.
+	Seen uint64
+	// Configuration is the number that the dock has in force.
+	Configuration uint64
+	// MembersDigest identifies the list of keepers that the dock knows.
+	MembersDigest uint64
+	Wait          time.Duration
+}
+
+// WatchReply answers a WatchRequest.
+type WatchReply struct {
+	Keeper identifier.Incarnation
+	Seen   uint64
+	// IsWhole says that Servers is the keeper's whole directory.
+	IsWhole bool
+	Servers []Registration
+	// Configuration is the number of the committed configuration that the keeper applied.
+	Configuration uint64
+	// IsVoter says whether the keeper counts toward a majority.
+	IsVoter bool
+	// Members are the voters and, on the leader, those that it teaches. The list is empty
+	// if its digest is the one that the dock knows.
+	Members       []KeeperMember
+	MembersDigest uint64
+	// Voters is the number of voters.
+	Voters   int
+	IsLeader bool
+	// Docks is the number of docks that watch this keeper.
+	Docks int
+}
+
+// FetchRequest asks a keeper for the committed configuration that it applied.
+type FetchRequest struct{}
+
+// ConfirmRequest asks the leader for the newest committed configuration.
+type ConfirmRequest struct{}
+
+// ConfirmReply answers a ConfirmRequest.
+type ConfirmReply struct {
+	// IsConfirmed says that a quorum confirmed the leader after the request arrived.
+	IsConfirmed bool
+	Manifest    ManifestText
+}
+
+// DepartReply answers a Registration that ends.
+type DepartReply struct{}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,174 @@
+// Package forwarder answers callers' opaque requests: it finds the route, passes the request
+// to a backend server of the route's service or to one of each shard, repeats what may be
+// repeated, and gathers the parts of an answer.
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/selector"
+	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/timekeeper"
+)
+
+const (
+	// retrySoon is when a caller may come back to a host that cannot serve yet.
+	retrySoon = 500 * time.Millisecond
+	// hedgeShare is the quantile of a route's latency after which a second server is asked.
+	hedgeShare = 0.88
+)
+
+// Request is a caller's request.
+type Request struct {
+	sender.Request
+	// Path selects the route.
+	Path string
+	// Arrived is when the request had been read.
+	Arrived time.Time
+	// Timeout is how long the caller waits from Arrived on. Zero means that it does not say.
+	Timeout time.Duration
+}
+
+// Settings of a Forwarder.
+type Settings struct {
+	Domain identifier.DomainName
+	Budget selector.BudgetLimits
+	Seed   uint64
+}
+
+// Forwarder answers requests. It is safe for concurrent use.
+type Forwarder struct {
+	// Set at creation.
+	clock    timekeeper.Clock
+	selector *selector.Selector
+	sender   *sender.Sender
+	log      zerolog.Logger
+	tasks    sync.WaitGroup
+
+	// Written by Configure.
+	table atomic.Pointer[matcher.Table]
+
+	// Guarded by mutex.
+	mutex     sync.Mutex
+	latencies map[matcher.RouteName]*selector.Latencies
+	wheels    map[matcher.RouteName]*wheel
+	docks     int
+}
+
+// New returns a Forwarder without a configuration.
+func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger) *Forwarder {
+	return &Forwarder{
+		clock:     clock,
+		selector:  selector.New(settings.Domain, settings.Budget, settings.Seed),
+		sender:    s,
+		log:       log,
+		latencies: map[matcher.RouteName]*selector.Latencies{},
+		wheels:    map[matcher.RouteName]*wheel{},
+		docks:     1,
+	}
+}
+
+// Configure puts a configuration in force unless a higher one is.
+func (f *Forwarder) Configure(t *matcher.Table) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if old := f.table.Load(); old == nil || old.Number() < t.Number() {
+		f.table.Store(t)
+	}
+}
+
+// Table returns the configuration in force, or nil before the first one.
+func (f *Forwarder) Table() *matcher.Table { return f.table.Load() }
+
+// UpdateServers replaces the servers that may be asked.
+func (f *Forwarder) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
+	f.selector.Update(services)
+}
+
+// SetDocks tells how many hosts share the budget of repeats and the servers' connections.
+func (f *Forwarder) SetDocks(n int) {
+	f.selector.SetDocks(n)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.docks = max(1, n)
+}
+
+// Close waits for all requests to backend servers.
+func (f *Forwarder) Close() { f.tasks.Wait() }
+
+// Handle answers one request. The context ends when the caller has left.
+func (f *Forwarder) Handle(ctx context.Context, r *Request) Outcome {
+	table := f.table.Load()
+	if table == nil {
+		return Refused{After: retrySoon, Reason: ReasonNoConfiguration}
+	}
+	route := table.Match(r.Host, r.Path)
+	if route == nil {
+		return NoRoute{}
+	}
+	q := f.newQuery(ctx, table, route, r)
+	defer q.finish()
+	switch d := route.Destination.(type) {
+	case matcher.Single:
+		return q.forward(d.Service)
+	case matcher.Weighted:
+		return q.forward(f.wheel(route.Name).next(d.Shares))
+	case matcher.Scatter:
+		return q.scatter(d)
+	}
+	return NoRoute{}
+}
+
+// latency returns the estimates of a route's latency at one server.
+func (f *Forwarder) latency(route matcher.RouteName) *selector.Latencies {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	l := f.latencies[route]
+	if l == nil {
+		l = selector.NewLatencies(hedgeShare)
+		f.latencies[route] = l
+	}
+	return l
+}
+
+// wheel returns the turns of a weighted route.
+func (f *Forwarder) wheel(route matcher.RouteName) *wheel {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	w := f.wheels[route]
+	if w == nil {
+		w = &wheel{}
+		f.wheels[route] = w
+	}
+	return w
+}
+
+// connections is how many connections this host may hold to one server of a service.
+func (f *Forwarder) connections(t *matcher.Table, service identifier.ServiceName) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	s, ok := t.Service(service)
+	if !ok || s.Connections <= 0 {
+		return defaultConnections
+	}
+	share := int(connectionShare * float64(s.Connections) / float64(f.docks))
+	return min(maxConnections, max(1, share))
+}
+
+const (
+	// defaultConnections is used for a service whose limit is not configured.
+	defaultConnections = 2
+	// maxConnections bounds the connections to one server whatever it accepts.
+	maxConnections = 32
+	// connectionShare is the part of a server's limit that the hosts split. The rest is for
+	// health checks and for hosts that have just started.
+	connectionShare = 0.85
+)
--- a/internal/governor/change.go
+++ b/internal/governor/change.go
@@ -46,12 +46,12 @@
 	if digest := hex.EncodeToString(sum[:]); digest != m.Digest {
 		return "the text's digest is " + digest
 	}
-	parsed, err := g.parse(m.Text)
+	number, err := g.parse(m.Text)
 	if err != nil {
 		return err.Error()
 	}
-	if parsed.Number != m.Number {
-		return fmt.Sprintf("the text has number %d, the submission %d", parsed.Number, m.Number)
+	if number != m.Number {
+		return fmt.Sprintf("the text has number %d, the submission %d", number, m.Number)
 	}
 	return ""
 }
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -14,7 +14,6 @@
 	"banyandock.example/banyandock/internal/checker"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/linker"
-	"banyandock.example/banyandock/internal/manifestreader"
 	"banyandock.example/banyandock/internal/publisher"
 	"banyandock.example/banyandock/internal/registrar"
 	"banyandock.example/banyandock/internal/timekeeper"
@@ -74,8 +73,8 @@
 	Pending uint64
 }
 
-// Parse reads a manifest's text and returns an error if it is not valid.
-type Parse func(text []byte) (*manifestreader.Manifest, error)
+// Parse returns the number of a configuration's text, or an error if the text is not valid.
+type Parse func(text []byte) (number uint64, err error)
 
 // Governor serves one keeper's clients.
 type Governor struct {
--- a/internal/governor/poll_test.go
+++ b/internal/governor/poll_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		state := registrar.New(nil)
-		g := governor.New(eager{state}, state, parse, timekeeper.System{})
+		g := governor.New(eager{state}, state, number, timekeeper.System{})
 		defer g.Close()
 		test(t, g)
 	})
--- a/internal/governor/world_test.go
+++ b/internal/governor/world_test.go
@@ -190,7 +190,7 @@
 		replicator.WithSeed(uint64(w.incarnation())),
 		replicator.WithInvariantFailure(func(v replicator.Violation) { panic(&v) }))
 	assert.NilError(w.t, err)
-	k.governor = governor.New(agreement{k.replicator}, k.state, parse, timekeeper.System{})
+	k.governor = governor.New(agreement{k.replicator}, k.state, number, timekeeper.System{})
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.keepers[name] = k
@@ -391,6 +391,12 @@
 	return encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: text}
 }
 
+// number reads the number of a test's manifest.
+func number(text []byte) (uint64, error) {
+	m, err := parse(text)
+	return m.Number, err
+}
+
 func parse(text []byte) (*manifestreader.Manifest, error) {
 	m := &manifestreader.Manifest{}
 	_, err := fmt.Sscanf(string(text), "%d", &m.Number)
--- a/internal/keeperrunner/agreement.go
+++ b/internal/keeperrunner/agreement.go
@@ -11,32 +11,32 @@
 	"banyandock.example/banyandock/internal/replicator"
 )
 
-// agreement is the replicator as the governor needs it.
-type agreement struct {
-	replicator *replicator.Replicator
+// Agreement is the replicator as the governor needs it.
+type Agreement struct {
+	Replicator *replicator.Replicator
 }
 
-var _ governor.Agreement = agreement{}
+var _ governor.Agreement = Agreement{}
 
 // Propose commits a command.
-func (a agreement) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	result, err := a.replicator.Propose(ctx, command)
+func (a Agreement) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	result, err := a.Replicator.Propose(ctx, command)
 	return result, translate(err)
 }
 
 // Barrier confirms the leadership.
-func (a agreement) Barrier(ctx context.Context) error {
-	return translate(a.replicator.Barrier(ctx))
+func (a Agreement) Barrier(ctx context.Context) error {
+	return translate(a.Replicator.Barrier(ctx))
 }
 
 // ReportGroup tells a keeper without a group that one exists.
-func (a agreement) ReportGroup() {
-	a.replicator.ReportGroup()
+func (a Agreement) ReportGroup() {
+	a.Replicator.ReportGroup()
 }
 
 // Standing reports the present state.
-func (a agreement) Standing() governor.Standing {
-	s := a.replicator.Status()
+func (a Agreement) Standing() governor.Standing {
+	s := a.Replicator.Status()
 	standing := governor.Standing{
 		Self:         keeperMember(s.Self),
 		Leader:       keeperMember(s.Leader),
--- a/internal/keeperrunner/keeperrunner.go
+++ b/internal/keeperrunner/keeperrunner.go
@@ -34,7 +34,7 @@
 type Keeper struct {
 	process    *launcher.Process
 	state      *registrar.Registrar
-	transport  *transport
+	transport  *Transport
 	replicator *replicator.Replicator
 	governor   *governor.Governor
 	server     *linker.Server
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k.transport = newTransport(p.Self(), p.Clock)
+	k.transport = NewTransport(p.Self(), p.Clock)
 	group := members(settings)
 	k.replicator, err = replicator.Open(group, witness{k.state, p.Events}, storage, k.transport,
 		replicator.WithClock(p.Clock),
@@ -74,7 +74,7 @@
 		k.transport.Close()
 		return nil, err
 	}
-	k.governor = governor.New(agreement{k.replicator}, k.state, manifestreader.Parse, p.Clock,
+	k.governor = governor.New(Agreement{k.replicator}, k.state, manifestreader.Number, p.Clock,
 		governor.WithInvariants(invariants),
 		governor.WithPublisher(publisher.New(publisher.WithInvariants(invariants))))
 	k.server, err = linker.Listen(settings.LinkAddress, p.Self(), k.mux(), p.Clock)
@@ -102,7 +102,7 @@
 	mux := linker.NewMux()
 	k.governor.Register(mux)
 	k.process.Events.Register(mux)
-	register(mux, k.replicator)
+	k.transport.Register(mux, k.replicator)
 	return mux
 }
 
--- a/internal/keeperrunner/transport.go
+++ b/internal/keeperrunner/transport.go
@@ -24,9 +24,9 @@
 	Payload []byte `msgpack:"p"`
 }
 
-// transport sends the replicator's messages over links, each member's in a goroutine of
+// Transport sends the replicator's messages over links, each member's in a goroutine of
 // its own, so that one that cannot be reached delays no other.
-type transport struct {
+type Transport struct {
 	// Set at creation.
 	pool   *linker.Pool
 	ctx    context.Context
@@ -39,19 +39,19 @@
 	isClosed bool
 }
 
-var _ replicator.Transport = (*transport)(nil)
+var _ replicator.Transport = (*Transport)(nil)
 
 // peer is the way to one member.
 type peer struct {
-	transport *transport
+	transport *Transport
 	link      *linker.Link
 	queue     chan []byte
 }
 
-// newTransport returns a transport without connections.
-func newTransport(self linker.Self, clock timekeeper.Clock) *transport {
+// NewTransport returns a transport without connections.
+func NewTransport(self linker.Self, clock timekeeper.Clock) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &transport{
+	return &Transport{
 		pool:   linker.NewPool(self, clock),
 		ctx:    ctx,
 		cancel: cancel,
@@ -59,8 +59,8 @@
 	}
 }
 
-// register lets a mux deliver messages to the replicator.
-func register(mux *linker.Mux, r *replicator.Replicator) {
+// Register lets a mux deliver messages to the replicator.
+func (t *Transport) Register(mux *linker.Mux, r *replicator.Replicator) {
 	linker.Handle(mux, encoder.KindAgreement, func(_ context.Context, _ linker.Peer, m agreementMessage) (struct{}, error) {
 		r.Deliver(m.Payload)
 		return struct{}{}, nil
@@ -69,7 +69,7 @@
 
 // Send queues a message for a member. If the queue is full the message is lost, and the
 // replicator sends it again.
-func (t *transport) Send(to replicator.Member, message []byte) {
+func (t *Transport) Send(to replicator.Member, message []byte) {
 	p := t.peer(to.Address)
 	if p == nil {
 		return
@@ -81,7 +81,7 @@
 }
 
 // peer returns the way to an address, or nil if the transport is closed.
-func (t *transport) peer(address netip.AddrPort) *peer {
+func (t *Transport) peer(address netip.AddrPort) *peer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.isClosed {
@@ -114,7 +114,7 @@
 }
 
 // Close ends all connections and waits for the goroutines.
-func (t *transport) Close() {
+func (t *Transport) Close() {
 	t.mutex.Lock()
 	t.isClosed = true
 	t.mutex.Unlock()
--- /dev/null
+++ b/internal/locator/book.go
@@ -0,0 +1,172 @@
+// Package locator keeps track of backend servers that announce themselves by heartbeats. A
+// Book holds what one keeper heard. A Catalog merges what several keepers heard and answers
+// which servers take work.
+package locator
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+)
+
+const (
+	// tombstoneTime is how long a server that has left is remembered, so that a heartbeat
+	// that was delayed on its way does not bring it back.
+	tombstoneTime = 60 * time.Second
+	// forgetTime is how long a silent server is remembered.
+	forgetTime = 30 * time.Second
+)
+
+// Book is what one keeper knows of the servers. It is not safe for concurrent use.
+type Book struct {
+	// silence is how long a server may send no heartbeat before it counts as silent.
+	silence   time.Duration
+	entries   map[encoder.ServerID]*entry
+	byAddress map[netip.AddrPort]encoder.ServerID
+}
+
+// entry is one server with the time of its last heartbeat.
+type entry struct {
+	registration encoder.Registration
+	heard        time.Time
+	coldUntil    time.Time
+}
+
+// NewBook returns an empty Book.
+func NewBook(silence time.Duration) *Book {
+	return &Book{
+		silence:   silence,
+		entries:   map[encoder.ServerID]*entry{},
+		byAddress: map[netip.AddrPort]encoder.ServerID{},
+	}
+}
+
+// Beat takes in a heartbeat and returns the servers whose registration has changed.
+func (b *Book) Beat(now time.Time, r encoder.Registration) []encoder.Registration {
+	e := b.entries[r.ID]
+	if e != nil && !follows(r, e.registration) {
+		return nil
+	}
+	changed := []encoder.Registration{}
+	if holder := b.holder(r); holder != nil {
+		if holder.registration.Born >= r.Born {
+			// The heartbeat was on its way while another server started at the address.
+			return nil
+		}
+		changed = append(changed, b.end(now, holder))
+	}
+	if e == nil || e.registration.Born < r.Born {
+		e = &entry{}
+		b.entries[r.ID] = e
+	}
+	before := e.registration
+	if before.Address.IsValid() && before.Address != r.Address && b.byAddress[before.Address] == r.ID {
+		delete(b.byAddress, before.Address)
+	}
+	if r.State < before.State {
+		r.State = before.State
+	}
+	e.registration = r
+	e.heard = now
+	e.coldUntil = now.Add(r.Cold)
+	if r.State != encoder.PresenceGone {
+		b.byAddress[r.Address] = r.ID
+	}
+	if isSame(before, r) {
+		return changed
+	}
+	return append(changed, e.describe(now))
+}
+
+// Leave ends a server. A born of zero ends whichever start is known.
+func (b *Book) Leave(now time.Time, id encoder.ServerID, born int64) []encoder.Registration {
+	e := b.entries[id]
+	if e == nil {
+		e = &entry{registration: encoder.Registration{ID: id, Born: born}}
+		b.entries[id] = e
+	}
+	if born != 0 && born < e.registration.Born || e.registration.State == encoder.PresenceGone {
+		return nil
+	}
+	if born > e.registration.Born {
+		e.registration.Born = born
+	}
+	return []encoder.Registration{b.end(now, e)}
+}
+
+// Sweep marks servers as silent, forgets those that left long ago, and returns the changed.
+func (b *Book) Sweep(now time.Time) []encoder.Registration {
+	changed := []encoder.Registration{}
+	for id, e := range b.entries {
+		quiet := now.Sub(e.heard)
+		switch {
+		case e.registration.State == encoder.PresenceGone:
+			if quiet > tombstoneTime {
+				delete(b.entries, id)
+			}
+		case quiet > forgetTime:
+			changed = append(changed, b.end(now, e))
+		case quiet > b.silence && !e.registration.Silent:
+			e.registration.Silent = true
+			changed = append(changed, e.describe(now))
+		}
+	}
+	slices.SortFunc(changed, func(a, b encoder.Registration) int { return cmp.Compare(a.ID, b.ID) })
+	return changed
+}
+
+// All returns all servers in the order of their IDs.
+func (b *Book) All(now time.Time) []encoder.Registration {
+	all := []encoder.Registration{}
+	for _, e := range b.entries {
+		all = append(all, e.describe(now))
+	}
+	slices.SortFunc(all, func(a, b encoder.Registration) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// holder returns the other server that is known at the address of a heartbeat.
+func (b *Book) holder(r encoder.Registration) *entry {
+	id, ok := b.byAddress[r.Address]
+	if !ok || id == r.ID {
+		return nil
+	}
+	return b.entries[id]
+}
+
+// end marks a server as gone.
+func (b *Book) end(now time.Time, e *entry) encoder.Registration {
+	r := &e.registration
+	r.State = encoder.PresenceGone
+	e.heard = now
+	if b.byAddress[r.Address] == r.ID {
+		delete(b.byAddress, r.Address)
+	}
+	return e.describe(now)
+}
+
+// describe returns the registration as of now.
+func (e *entry) describe(now time.Time) encoder.Registration {
+	r := e.registration
+	r.Cold = max(0, e.coldUntil.Sub(now))
+	return r
+}
+
+// follows tells whether a heartbeat is newer than what is known of its server.
+func follows(r, known encoder.Registration) bool {
+	if r.Born != known.Born {
+		return r.Born > known.Born
+	}
+	return r.Sequence > known.Sequence && known.State != encoder.PresenceGone
+}
+
+// isSame tells whether two registrations of a server differ only in what all heartbeats
+// change.
+func isSame(a, b encoder.Registration) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.Cold, b.Cold = 0, 0
+	return a == b
+}
--- a/internal/manifestreader/reader.go
+++ b/internal/manifestreader/reader.go
@@ -56,6 +56,15 @@
 	return m, nil
 }
 
+// Number returns the number of a manifest's text. Its error is of type Problems.
+func Number(text []byte) (uint64, error) {
+	m, err := Parse(text)
+	if err != nil {
+		return 0, err
+	}
+	return m.Number, nil
+}
+
 // Digest returns the SHA-256 of a manifest's text in lower-case hexadecimal.
 func Digest(text []byte) string {
 	sum := sha256.Sum256(text)
--- a/internal/poller/path_test.go
+++ b/internal/poller/path_test.go
@@ -82,7 +82,7 @@
 	agreement := &soloAgreement{state: state, standing: governor.Standing{
 		Self: member, Leader: member, IsLeader: true, IsVoter: true, Term: 1, LastLogTerm: 1, Voters: []encoder.KeeperMember{member},
 	}}
-	g := governor.New(agreement, state, parse, clock)
+	g := governor.New(agreement, state, number, clock)
 	defer g.Close()
 	g.Register(mux)
 
@@ -116,3 +116,9 @@
 func isServing(s *poller.State) bool {
 	return s.Manifest != nil && s.Manifest.Number == 4 && len(s.View.Servers) == 1 && len(s.View.Hosts) == 1
 }
+
+// number reads the number of a test's manifest.
+func number(text []byte) (uint64, error) {
+	m, err := parse(text)
+	return m.Number, err
+}
--- a/internal/registrar/register.go
+++ b/internal/registrar/register.go
@@ -20,6 +20,9 @@
 // register holds the manifest.
 type register struct {
 	invariants checker.Hook
+	// isHighest says that a submission that a higher number has overtaken is accepted
+	// without effect.
+	isHighest bool
 
 	standing encoder.ManifestText
 	// history lists the accepted manifests in rising order, the standing one last.
@@ -44,7 +47,7 @@
 	if m.Number == 0 {
 		return encoder.SubmitInvalid
 	}
-	if m.Number > r.standing.Number {
+	if m.Number > r.standing.Number || r.isHighest {
 		return encoder.SubmitAccepted
 	}
 	// Equal number and digest as an accepted one is a resend, also after a later one.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -34,13 +34,26 @@
 
 var _ replicator.StateMachine = (*Registrar)(nil)
 
+// Option changes a Registrar at creation. All keepers of a group need the same options.
+type Option func(*Registrar)
+
+// WithHighest accepts each submission and lets the highest number stand. A lower or equal
+// one changes nothing: its sender resends what was accepted before, or was overtaken.
+func WithHighest() Option {
+	return func(r *Registrar) { r.register.isHighest = true }
+}
+
 // New returns an empty state that tells the hook of broken invariants.
-func New(invariants checker.Hook) *Registrar {
-	return &Registrar{
+func New(invariants checker.Hook, options ...Option) *Registrar {
+	r := &Registrar{
 		invariants: invariants,
 		register:   register{invariants: invariants},
 		ledger:     newLedger(invariants),
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Apply executes one committed command. The result is an encoded SubmitReply, ClaimReply
--- a/internal/registrar/snapshot.go
+++ b/internal/registrar/snapshot.go
@@ -79,7 +79,8 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.register = register{invariants: r.invariants, standing: header.Manifest, history: header.History}
+	r.register.standing = header.Manifest
+	r.register.history = header.History
 	r.ledger = l
 	return nil
 }
--- a/internal/replicator/configuration.go
+++ b/internal/replicator/configuration.go
@@ -64,12 +64,17 @@
 	return Member{}
 }
 
-// replace returns the joint configuration that puts a member in the place of the voter of
-// its name.
-func (c Configuration) replace(m Member) Configuration {
+// add returns the joint configuration that has a further voter.
+func (c Configuration) add(m Member) Configuration {
+	voters := append(slices.Clone(c.Voters), m)
+	return Configuration{Voters: voters, Outgoing: slices.Clone(c.Voters), Former: c.Former}
+}
+
+// replace returns the joint configuration that puts a member in the place of a voter.
+func (c Configuration) replace(old, m Member) Configuration {
 	voters := slices.Clone(c.Voters)
-	i := slices.IndexFunc(voters, func(v Member) bool { return v.Name == m.Name })
-	former := append(slices.Clone(c.Former), voters[i].Incarnation)
+	i := slices.Index(voters, old)
+	former := append(slices.Clone(c.Former), old.Incarnation)
 	former = former[max(0, len(former)-maxFormer):]
 	voters[i] = m
 	return Configuration{Voters: voters, Outgoing: slices.Clone(c.Voters), Former: former}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"net/netip"
+
 	"banyandock.example/banyandock/internal/identifier"
 )
 
@@ -60,6 +62,8 @@
 	// allBlank is for how many ticks all hosts have been known to hold nothing.
 	probes   map[identifier.HostName]heardProbe
 	allBlank int
+	// contacts are the addresses at which a member without a vote announces itself.
+	contacts map[identifier.HostName]netip.AddrPort
 	assembly *assembly
 
 	output output
@@ -102,10 +106,13 @@
 		snapshot:     s.Snapshot,
 		commit:       s.Snapshot.Last.Index,
 		probes:       map[identifier.HostName]heardProbe{},
+		contacts:     map[identifier.HostName]netip.AddrPort{},
 	}
 	c.self.Incarnation = s.State.Self
 	c.history.reset(s.Snapshot.Last.Index, s.Snapshot.Digest)
 	c.rebuildConfigurations()
+	c.meet(settings.Initial)
+	c.meet(c.configuration().members())
 	c.resetTimeout()
 	return c
 }
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"maps"
 	"slices"
 
 	"banyandock.example/banyandock/internal/identifier"
@@ -35,16 +36,25 @@
 
 // probeHosts announces this member to all hosts.
 func (c *core) probeHosts() {
-	for _, m := range c.settings.Initial {
+	for _, name := range slices.Sorted(maps.Keys(c.contacts)) {
+		c.sendProbe(Member{Name: name, Address: c.contacts[name]}, false)
+	}
+}
+
+// meet remembers where members are.
+func (c *core) meet(members []Member) {
+	for _, m := range members {
 		if m.Name != c.self.Name {
-			c.sendProbe(Member{Name: m.Name, Address: m.Address})
+			c.contacts[m.Name] = m.Address
 		}
 	}
 }
 
 // sendProbe announces this member to a host of any incarnation.
-func (c *core) sendProbe(to Member) {
+func (c *core) sendProbe(to Member, isReply bool) {
 	c.send(to, probe{
+		Members:   c.configuration().members(),
+		IsReply:   isReply,
 		Names:     c.settings.names(),
 		LastIndex: c.log.last().Index,
 		GroupSeen: c.state.GroupSeen,
@@ -53,13 +63,14 @@
 
 // receiveProbe teaches a member without a vote, or takes a step to form a group.
 func (c *core) receiveProbe(m received, p probe) {
+	c.meet(p.Members)
 	if c.role == leader {
 		c.learn(m.From)
 	}
 	if !c.isBlank() {
-		if p.LastIndex == 0 {
-			// Whoever holds nothing must know that there is a group.
-			c.sendProbe(m.From)
+		// Whoever is not in the group must know that there is one, and where.
+		if !p.IsReply && !c.configuration().isVoter(m.From.Incarnation) {
+			c.sendProbe(m.From, true)
 		}
 		return
 	}
@@ -89,7 +100,7 @@
 		c.state.Group = m.From.Incarnation
 		c.stateDirty = true
 	}
-	c.sendProbe(m.From)
+	c.sendProbe(m.From, true)
 }
 
 // tryForm writes the group's first entry if every named host has held nothing for a while
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -118,13 +118,17 @@
 	}
 }
 
-// learn starts to teach a member that lost its disk, in the place of its predecessor.
+// learn starts to teach a member that lost its disk, in the place of its predecessor, or one
+// of a new name if the group takes in such members.
 func (c *core) learn(m Member) {
 	if c.peers[m.Incarnation] != nil || slices.Contains(c.configuration().Former, m.Incarnation) {
 		return
 	}
 	predecessor, ok := c.configuration().named(m.Name)
-	if !ok || predecessor.Incarnation == c.self.Incarnation || c.isHeard(predecessor.Incarnation) {
+	if ok && (predecessor.Incarnation == c.self.Incarnation || c.isHeard(predecessor.Incarnation)) {
+		return
+	}
+	if !ok && c.settings.Voters == 0 {
 		return
 	}
 	for i, other := range c.learners {
@@ -137,6 +141,15 @@
 	c.emit(EventLearnerAdded, m)
 }
 
+// learnerList returns the members that a leader teaches, in a fixed order.
+func (c *core) learnerList() []Member {
+	learners := []Member{}
+	for _, i := range sortedKeys(c.learners) {
+		learners = append(learners, c.learners[i])
+	}
+	return learners
+}
+
 // isHeard tells whether a leader heard a peer within the election timeout.
 func (c *core) isHeard(i identifier.Incarnation) bool {
 	if i == c.self.Incarnation {
@@ -163,19 +176,45 @@
 	}
 	for _, i := range sortedKeys(c.learners) {
 		m := c.learners[i]
-		if c.isReadyToVote(i, m) {
+		next, ok := c.configurationWith(m)
+		if ok && c.isReadyToVote(i) {
 			c.emit(EventReplacementStarted, m)
-			c.changeConfiguration(configuration.replace(m))
+			c.changeConfiguration(next)
 			return
 		}
 	}
 }
 
-// isReadyToVote tells whether a learner holds everything and its predecessor is silent.
-func (c *core) isReadyToVote(i identifier.Incarnation, m Member) bool {
+// isReadyToVote tells whether a learner holds everything.
+func (c *core) isReadyToVote(i identifier.Incarnation) bool {
 	p := c.peers[i]
-	predecessor, ok := c.configuration().named(m.Name)
-	return ok && p != nil && c.isHeard(i) && p.match >= c.commit && !c.isHeard(predecessor.Incarnation)
+	return p != nil && c.isHeard(i) && p.match >= c.commit
+}
+
+// configurationWith returns the change that gives a learner a vote: in the place of its
+// silent predecessor, as a further voter, or in the place of any voter that has been silent
+// for long. It returns false if there is no place.
+func (c *core) configurationWith(m Member) (Configuration, bool) {
+	configuration := c.configuration()
+	if predecessor, ok := configuration.named(m.Name); ok {
+		return configuration.replace(predecessor, m), !c.isHeard(predecessor.Incarnation)
+	}
+	if len(configuration.Voters) < c.settings.Voters {
+		return configuration.add(m), true
+	}
+	for _, v := range configuration.Voters {
+		if c.isLongSilent(v.Incarnation) {
+			return configuration.replace(v, m), true
+		}
+	}
+	return Configuration{}, false
+}
+
+// isLongSilent tells whether a leader has not heard a voter for so long that another member
+// may take its place.
+func (c *core) isLongSilent(i identifier.Incarnation) bool {
+	p := c.peers[i]
+	return p != nil && c.now-p.heard >= uint64(replaceAfterElections*c.settings.ElectionTicks)
 }
 
 // changeConfiguration appends a configuration, which governs at once.
--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -52,6 +52,11 @@
 	LastIndex uint64
 	// GroupSeen means that somebody told the sender of a group that exists or existed.
 	GroupSeen bool
+	// Members are the voters that the sender knows, so that the receiver finds a group whose
+	// hosts its settings do not name.
+	Members []Member
+	// IsReply marks the answer to a probe, which is not answered.
+	IsReply bool
 }
 
 // preVoteRequest asks whether a candidacy would succeed, without starting a term.
--- a/internal/replicator/settings.go
+++ b/internal/replicator/settings.go
@@ -32,6 +32,9 @@
 	// learnerTimeoutElections is after how many election timeouts of silence a leader
 	// forgets a learner.
 	learnerTimeoutElections = 10
+	// replaceAfterElections is after how many election timeouts of silence a voter's place
+	// goes to a learner of another name.
+	replaceAfterElections = 2
 )
 
 // Settings of a member. Zero values of the durations and limits mean the defaults.
@@ -41,6 +44,9 @@
 	// Initial is the group as the settings name it, with incarnations of zero. It must
 	// include Self.
 	Initial []Member
+	// Voters is the number of voters that the group grows to with members that Initial does
+	// not name. Zero means that the group keeps to Initial.
+	Voters int
 
 	// Tick is the unit of the timeouts.
 	Tick time.Duration
@@ -102,7 +108,7 @@
 // check refuses settings that cannot work.
 func (s Settings) check() error {
 	names := s.names()
-	if !slices.Contains(names, s.Self.Name) {
+	if s.Voters == 0 && !slices.Contains(names, s.Self.Name) {
 		return eris.Wrapf(ErrSettings, "the group %v does not include %q", names, s.Self.Name)
 	}
 	if len(slices.Compact(slices.Clone(names))) < len(names) {
--- a/internal/replicator/status.go
+++ b/internal/replicator/status.go
@@ -21,6 +21,8 @@
 	// Outgoing are the former voters while a change of the voters is not complete. A
 	// majority of both lists is needed then.
 	Outgoing []Member
+	// Learners are, on a leader, the members that it teaches and that have no vote.
+	Learners []Member
 	// Pending is the largest marker among the log's entries beyond CommitIndex.
 	Pending uint64
 	// Violations counts the invariants that did not hold.
@@ -42,6 +44,7 @@
 		AppliedIndex: c.history.applied,
 		Voters:       slices.Clone(c.configuration().Voters),
 		Outgoing:     slices.Clone(c.configuration().Outgoing),
+		Learners:     c.learnerList(),
 		Pending:      c.log.pending(c.commit),
 		Violations:   c.options.violations.Count(),
 	}
--- /dev/null
+++ b/internal/routekeeperrunner/control.go
@@ -0,0 +1,163 @@
+package routekeeperrunner
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+	"sync"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/linker"
+)
+
+const (
+	// answerTime bounds how long an operator's call may take: its caller gives up after a
+	// second.
+	answerTime = 900 * time.Millisecond
+	// leaderPause is the time between two attempts to reach a leader.
+	leaderPause = 40 * time.Millisecond
+	// departTime bounds how long the acknowledgement of a departure waits for other keepers.
+	departTime = 250 * time.Millisecond
+)
+
+// Submit puts a configuration's text in force unless a higher number stands. It returns
+// SubmitAccepted, SubmitInvalid, or SubmitUnknown if the text may or may not be committed.
+func (k *Keeper) Submit(ctx context.Context, number uint64, text []byte) encoder.SubmitReply {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	sum := sha256.Sum256(text)
+	request := encoder.SubmitRequest{Manifest: encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: text}}
+	for {
+		reply := k.submitOnce(ctx, request)
+		if reply.Outcome != encoder.SubmitNotLeader {
+			return reply
+		}
+		if !k.wait(ctx) {
+			return encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: "no leader was reached in time"}
+		}
+	}
+}
+
+// submitOnce submits here if this keeper leads, and else to the leader that it knows.
+func (k *Keeper) submitOnce(ctx context.Context, request encoder.SubmitRequest) encoder.SubmitReply {
+	// The governor's errors are outcomes of the reply.
+	reply, _ := k.governor.Submit(ctx, request)
+	if reply.Outcome != encoder.SubmitNotLeader || !reply.Leader.IsValid() {
+		return reply
+	}
+	remote, err := linker.Call[encoder.SubmitRequest, encoder.SubmitReply](ctx, k.pool.Link(reply.Leader), encoder.KindSubmit, request)
+	if err != nil {
+		// A submission may be repeated, so it does not matter whether this one arrived.
+		return encoder.SubmitReply{Outcome: encoder.SubmitNotLeader, Detail: err.Error()}
+	}
+	return remote
+}
+
+// Newest returns the newest committed configuration, as a quorum confirms it. It returns
+// false if that is not known in time.
+func (k *Keeper) Newest(ctx context.Context) (encoder.ManifestText, bool) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	for {
+		if reply := k.confirmAnywhere(ctx); reply.IsConfirmed {
+			return reply.Manifest, true
+		}
+		if !k.wait(ctx) {
+			return encoder.ManifestText{}, false
+		}
+	}
+}
+
+// confirmAnywhere asks the leader for the newest configuration.
+func (k *Keeper) confirmAnywhere(ctx context.Context) encoder.ConfirmReply {
+	s := k.replicator.Status()
+	if s.IsLeader {
+		return k.confirm(ctx)
+	}
+	if !s.Leader.Address.IsValid() {
+		return encoder.ConfirmReply{}
+	}
+	reply, err := linker.Call[encoder.ConfirmRequest, encoder.ConfirmReply](ctx, k.pool.Link(s.Leader.Address), encoder.KindConfirm, encoder.ConfirmRequest{})
+	if err != nil {
+		return encoder.ConfirmReply{}
+	}
+	return reply
+}
+
+// confirm returns the newest configuration if this keeper certainly leads.
+func (k *Keeper) confirm(ctx context.Context) encoder.ConfirmReply {
+	if k.replicator.Barrier(ctx) != nil {
+		return encoder.ConfirmReply{}
+	}
+	return encoder.ConfirmReply{IsConfirmed: true, Manifest: k.state.Manifest()}
+}
+
+// wait pauses before the next attempt. It returns false if there is no time for one.
+func (k *Keeper) wait(ctx context.Context) bool {
+	timer := k.process.Clock.NewTimer(leaderPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Announce takes in a heartbeat. A server that leaves is known to most keepers when it
+// returns, or departTime has passed.
+func (k *Keeper) Announce(ctx context.Context, r encoder.Registration) {
+	k.spread(ctx, k.broadcaster.Beat(r))
+}
+
+// Leave ends a server. A born of zero ends whichever start of it is known.
+func (k *Keeper) Leave(ctx context.Context, id encoder.ServerID, born int64) {
+	k.spread(ctx, k.broadcaster.Leave(id, born))
+}
+
+// ControlAddress is where servers send their heartbeats to.
+func (k *Keeper) ControlAddress() netip.AddrPort { return k.settings.ControlAddress }
+
+// spread tells the other keepers of departures, so that docks learn of them even if this
+// keeper fails right after it acknowledged them.
+func (k *Keeper) spread(ctx context.Context, changed []encoder.Registration) {
+	ctx, cancel := context.WithTimeout(ctx, departTime)
+	defer cancel()
+	for _, r := range changed {
+		if r.State == encoder.PresenceReady {
+			continue
+		}
+		k.process.Log.Info().Str("server", string(r.ID)).Str("service", string(r.Service)).
+			Stringer("state", r.State).Uint64("sequence", r.Sequence).Msg("server departs")
+		k.tell(ctx, r)
+	}
+}
+
+// tell sends a departure to all voters and waits for a majority of them, this one included.
+func (k *Keeper) tell(ctx context.Context, r encoder.Registration) {
+	s := k.replicator.Status()
+	told := make(chan struct{}, len(s.Voters))
+	var calls sync.WaitGroup
+	for _, m := range s.Voters {
+		if m.Name == s.Self.Name {
+			continue
+		}
+		calls.Go(func() {
+			_, err := linker.Call[encoder.Registration, encoder.DepartReply](ctx, k.pool.Link(m.Address), encoder.KindDepart, r)
+			if err != nil {
+				k.process.Log.Warn().Err(err).Str("server", string(r.ID)).Str("keeper", string(m.Name)).Msg("departure not passed on")
+				return
+			}
+			told <- struct{}{}
+		})
+	}
+	for range len(s.Voters) / 2 {
+		select {
+		case <-told:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -0,0 +1,246 @@
+// Package routekeeperrunner builds a keeper of a routed deployment from its parts: storage,
+// replicated log, the register of the configuration, the directory of backend servers, and
+// the servers for docks, other keepers, operators and backend servers.
+package routekeeperrunner
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"banyandock.example/banyandock/internal/broadcaster"
+	"banyandock.example/banyandock/internal/checker"
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/governor"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/journaler"
+	"banyandock.example/banyandock/internal/keeperrunner"
+	"banyandock.example/banyandock/internal/launcher"
+	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/registrar"
+	"banyandock.example/banyandock/internal/replicator"
+	"banyandock.example/banyandock/internal/settingsreader"
+	"banyandock.example/banyandock/internal/tracer"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the collector aims to stay below.
+	memoryShare = 0.6
+	// silentHeartbeats is after how many intervals without a heartbeat a server is silent.
+	silentHeartbeats = 3.5
+	// headerTimeout bounds how long a client of the control address may take for a header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection to the control address stays open.
+	idleTimeout = 90 * time.Second
+)
+
+// ErrStorage reports that the keeper's storage failed and the keeper stopped.
+var ErrStorage = eris.New("storage failed")
+
+// Wire is how operators and backend servers speak.
+type Wire struct {
+	// Number returns the number of a valid configuration's text.
+	Number governor.Parse
+	// Control answers operators and backend servers.
+	Control func(k *Keeper) http.Handler
+}
+
+// Keeper is a running keeper.
+type Keeper struct {
+	process     *launcher.Process
+	settings    *settingsreader.RouteKeeper
+	wire        Wire
+	state       *registrar.Registrar
+	transport   *keeperrunner.Transport
+	replicator  *replicator.Replicator
+	governor    *governor.Governor
+	broadcaster *broadcaster.Broadcaster
+	links       *linker.Server
+	pool        *linker.Pool
+	control     *http.Server
+	tasks       sync.WaitGroup
+}
+
+// Runner returns the function that runs a keeper on a wire until its context ends.
+func Runner(wire Wire) func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
+	return func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
+		k, err := start(p, settings, wire)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return k.Close()
+		case <-k.replicator.Stopped():
+			return eris.Wrapf(ErrStorage, "%v", k.Close())
+		}
+	}
+}
+
+// start builds the keeper from the bottom up. The control address opens last.
+func start(p *launcher.Process, settings *settingsreader.RouteKeeper, wire Wire) (*Keeper, error) {
+	if settings.MemoryLimitMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimitMB) * 1e6))
+	}
+	invariants := checker.Hook(func(name, detail string) { p.Invariants.Check(false, name, tracer.F("detail", detail)) })
+	k := &Keeper{
+		process:  p,
+		settings: settings,
+		wire:     wire,
+		state:    registrar.New(invariants, registrar.WithHighest()),
+		pool:     linker.NewPool(p.Self(), p.Clock),
+	}
+	k.transport = keeperrunner.NewTransport(p.Self(), p.Clock)
+	if err := k.openReplicator(invariants); err != nil {
+		return nil, k.abandon(err)
+	}
+	silence := time.Duration(silentHeartbeats * float64(settings.HeartbeatInterval))
+	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.standing, p.Clock)
+	k.governor = governor.New(keeperrunner.Agreement{Replicator: k.replicator}, k.state, wire.Number, p.Clock, governor.WithInvariants(invariants))
+	var err error
+	if k.links, err = linker.Listen(settings.LinkAddress, p.Self(), k.mux(), p.Clock); err != nil {
+		return nil, k.abandon(err)
+	}
+	if err := k.listen(); err != nil {
+		return nil, k.abandon(err)
+	}
+	k.expose()
+	return k, nil
+}
+
+// openReplicator joins or forms the group.
+func (k *Keeper) openReplicator(invariants checker.Hook) error {
+	storage, err := journaler.Open(k.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	k.replicator, err = replicator.Open(k.group(), witness{k.state, k}, storage, k.transport,
+		replicator.WithClock(k.process.Clock),
+		replicator.WithMarker(registrar.Marker),
+		replicator.WithEvents(k.record),
+		replicator.WithMetrics(k.process.Metrics.Metrics()),
+		replicator.WithInvariantFailure(func(v replicator.Violation) { invariants(v.Invariant.String(), v.Error()) }))
+	if err != nil {
+		return err
+	}
+	if !k.settings.MayForm {
+		k.replicator.ReportGroup()
+	}
+	return nil
+}
+
+// group returns the first members. A keeper is named by its address, which is all that the
+// others know of it.
+func (k *Keeper) group() replicator.Settings {
+	address := k.settings.LinkAddress
+	group := replicator.Settings{
+		Self:   replicator.Member{Name: identifier.HostName(address.Addr().String()), Address: address},
+		Voters: k.settings.Voters(),
+	}
+	for _, a := range k.settings.LinkSeeds() {
+		group.Initial = append(group.Initial, replicator.Member{Name: identifier.HostName(a.Addr().String()), Address: a})
+	}
+	return group
+}
+
+// mux registers the handlers for docks and other keepers.
+func (k *Keeper) mux() *linker.Mux {
+	mux := linker.NewMux()
+	k.governor.Register(mux)
+	k.process.Events.Register(mux)
+	k.transport.Register(mux, k.replicator)
+	linker.Handle(mux, encoder.KindWatch, func(ctx context.Context, peer linker.Peer, q encoder.WatchRequest) (encoder.WatchReply, error) {
+		return k.broadcaster.Watch(ctx, peer.Host, q), nil
+	})
+	linker.Handle(mux, encoder.KindFetch, func(context.Context, linker.Peer, encoder.FetchRequest) (encoder.ManifestText, error) {
+		return k.state.Manifest(), nil
+	})
+	linker.Handle(mux, encoder.KindConfirm, func(ctx context.Context, _ linker.Peer, _ encoder.ConfirmRequest) (encoder.ConfirmReply, error) {
+		return k.confirm(ctx), nil
+	})
+	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
+		k.broadcaster.Depart(r)
+		return encoder.DepartReply{}, nil
+	})
+	return mux
+}
+
+// listen opens the control address.
+func (k *Keeper) listen() error {
+	listener, err := net.Listen("tcp", k.settings.ControlAddress.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen at %s", k.settings.ControlAddress)
+	}
+	k.control = &http.Server{
+		Handler:           k.wire.Control(k),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(k.process.Log, "", 0),
+	}
+	k.tasks.Add(1)
+	go k.run(listener)
+	return nil
+}
+
+// run serves the control address until Close.
+func (k *Keeper) run(listener net.Listener) {
+	defer k.tasks.Done()
+	// The error is always that the server was closed.
+	_ = k.control.Serve(listener)
+}
+
+// expose adds the keeper's readiness and metrics to the pages for operators.
+func (k *Keeper) expose() {
+	m := k.process.Metrics
+	k.process.Operator.AddCheck("leader", func() error {
+		if k.replicator.Status().Leader.Name == "" {
+			return errNoLeader
+		}
+		return nil
+	})
+	m.Computed("keeper_term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(k.replicator.Status().Term) })
+	m.Computed("keeper_commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(k.replicator.Status().CommitIndex) })
+	m.Computed("keeper_voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(k.replicator.Status().Voters)) })
+	m.Computed("keeper_configuration", measurer.Count, "Number of the committed configuration.", func() int64 { return int64(k.state.Manifest().Number) })
+}
+
+// abandon closes what was started and returns the error that stopped the start.
+func (k *Keeper) abandon(err error) error {
+	// The error that stopped the start says more than one of closing.
+	_ = k.Close()
+	return err
+}
+
+// Close stops the parts from the top down and waits for them.
+func (k *Keeper) Close() error {
+	if k.control != nil {
+		// The connections are ended whatever error closing the listener gives.
+		_ = k.control.Close()
+		k.tasks.Wait()
+	}
+	if k.broadcaster != nil {
+		k.broadcaster.Close()
+	}
+	var err error
+	if k.links != nil {
+		err = k.links.Close()
+	}
+	if k.governor != nil {
+		k.governor.Close()
+	}
+	if k.replicator != nil {
+		if closeErr := k.replicator.Close(); closeErr != nil {
+			err = closeErr
+		}
+	}
+	k.transport.Close()
+	_ = k.pool.Close()
+	return err
+}
--- /dev/null
+++ b/internal/routekeeperrunner/standing.go
@@ -0,0 +1,92 @@
+package routekeeperrunner
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"banyandock.example/banyandock/internal/broadcaster"
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/registrar"
+	"banyandock.example/banyandock/internal/replicator"
+)
+
+// errNoLeader is why a keeper without a leader is not ready.
+var errNoLeader = eris.New("no leader is known")
+
+// standing tells the broadcaster how the agreement stands.
+func (k *Keeper) standing() broadcaster.Standing {
+	s := k.replicator.Status()
+	standing := broadcaster.Standing{
+		Configuration: k.state.Manifest().Number,
+		IsVoter:       s.IsVoter,
+		IsLeader:      s.IsLeader,
+		Voters:        len(s.Voters),
+	}
+	// Former voters are heard until the change is complete, and learners take heartbeats.
+	for _, list := range [][]replicator.Member{s.Voters, s.Outgoing, s.Learners} {
+		for _, m := range list {
+			standing.Members = append(standing.Members, encoder.KeeperMember{Name: m.Name, Address: m.Address, Incarnation: m.Incarnation})
+		}
+	}
+	standing.MembersDigest = membersDigest(standing)
+	return standing
+}
+
+// membersDigest identifies a list of members. It is never zero.
+func membersDigest(s broadcaster.Standing) uint64 {
+	d := xxhash.New()
+	for _, m := range s.Members {
+		// xxhash's Write never returns an error.
+		_, _ = d.WriteString(m.Address.String())
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write([]byte{byte(s.Voters)})
+	return d.Sum64() | 1
+}
+
+// witness is the replicated state that wakes the docks when a configuration is applied.
+type witness struct {
+	*registrar.Registrar
+	keeper *Keeper
+}
+
+// Apply executes one committed command.
+func (w witness) Apply(index uint64, command []byte) []byte {
+	before := w.Manifest().Number
+	answer := w.Registrar.Apply(index, command)
+	w.announce(before, "committed")
+	return answer
+}
+
+// Restore replaces the state by a snapshot.
+func (w witness) Restore(snapshot []byte) error {
+	before := w.Manifest().Number
+	err := w.Registrar.Restore(snapshot)
+	w.announce(before, "snapshot")
+	return err
+}
+
+// announce tells docks and log of a new configuration.
+func (w witness) announce(before uint64, origin string) {
+	number := w.Manifest().Number
+	if number == before {
+		return
+	}
+	w.keeper.process.Log.Info().Uint64("number", number).Uint64("before", before).Str("origin", origin).Msg("configuration applied")
+	// While storage is being loaded there is nobody to tell.
+	if b := w.keeper.broadcaster; b != nil {
+		b.Notify()
+	}
+}
+
+// record logs an event of the agreement.
+func (k *Keeper) record(e replicator.Event) {
+	line := k.process.Log.Info().Str("event", e.Kind.String()).Uint64("term", e.Term).Uint64("index", e.Index)
+	if e.Member.Name != "" {
+		line = line.Str("member", string(e.Member.Name))
+	}
+	if e.Detail != "" {
+		line = line.Str("detail", e.Detail)
+	}
+	line.Msg("agreement")
+}
--- /dev/null
+++ b/internal/selector/selector.go
@@ -0,0 +1,136 @@
+// Package selector decides which backend server of a service gets a request, when a second
+// server is asked, and when no more repeats may be sent. It does no input or output: time is
+// an argument, and its callers tell it what they send and receive.
+package selector
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+)
+
+const (
+	// nearFactor is what a server in this host's failure domain scores less: its bytes cross
+	// no domain.
+	nearFactor = 0.85
+	// jitter spreads equal scores, so that hosts do not all choose the same server.
+	jitter = 0.15
+	// blockedFactor and silentFactor put servers behind all others.
+	blockedFactor = 100
+	silentFactor  = 1000
+)
+
+// Selector holds what this host has seen of all servers. It is safe for concurrent use.
+type Selector struct {
+	// Set at creation.
+	domain identifier.DomainName
+
+	// Guarded by mutex.
+	mutex    sync.Mutex
+	random   *rand.Rand
+	servers  map[encoder.ServerID]*server
+	services map[identifier.ServiceName][]*server
+	budgets  map[identifier.ServiceName]*budget
+	limits   BudgetLimits
+	docks    int
+}
+
+// New returns a Selector for a host in a failure domain.
+func New(domain identifier.DomainName, limits BudgetLimits, seed uint64) *Selector {
+	return &Selector{
+		domain:   domain,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		servers:  map[encoder.ServerID]*server{},
+		services: map[identifier.ServiceName][]*server{},
+		budgets:  map[identifier.ServiceName]*budget{},
+		limits:   limits,
+		docks:    1,
+	}
+}
+
+// Update replaces the servers. What was seen of those that stay is kept.
+func (s *Selector) Update(services map[identifier.ServiceName][]locator.Server) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := map[encoder.ServerID]*server{}
+	s.services = make(map[identifier.ServiceName][]*server, len(services))
+	for name, list := range services {
+		for _, info := range list {
+			v := s.servers[info.ID]
+			if v == nil || v.info.Born != info.Born || v.info.Address != info.Address {
+				v = &server{}
+			}
+			v.info = info
+			kept[info.ID] = v
+			s.services[name] = append(s.services[name], v)
+		}
+	}
+	s.servers = kept
+}
+
+// SetDocks tells among how many hosts the budget of repeats is split.
+func (s *Selector) SetDocks(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.docks = max(1, n)
+}
+
+// Target is the server that a request goes to.
+type Target struct {
+	ID      encoder.ServerID
+	Address netip.AddrPort
+	Domain  identifier.DomainName
+	// Score is what the choice rested on: the expected latency in multiples of the usual.
+	Score float64
+}
+
+// Has tells whether a service has a server that may answer.
+func (s *Selector) Has(service identifier.ServiceName, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, v := range s.services[service] {
+		if !v.isDown(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose returns the best server of a service that is not excluded.
+func (s *Selector) Choose(now time.Time, service identifier.ServiceName, excluded []encoder.ServerID) (Target, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	best, bestScore := (*server)(nil), math.Inf(1)
+	for _, v := range s.services[service] {
+		if contains(excluded, v.info.ID) {
+			continue
+		}
+		score := v.score(now) * (1 + jitter*s.random.Float64())
+		if v.info.Domain == s.domain {
+			score *= nearFactor
+		}
+		if score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	if best == nil {
+		return Target{}, false
+	}
+	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore}, true
+}
+
+// contains tells whether an ID is in a short list.
+func contains(list []encoder.ServerID, id encoder.ServerID) bool {
+	for _, other := range list {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sender/exchange.go
@@ -0,0 +1,139 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// exchange is one request on its way over one connection.
+type exchange struct {
+	sender     *Sender
+	connection *connection
+	to         Destination
+	request    *Request
+	deadline   time.Time
+	// isAborted is set when the context has ended.
+	isAborted atomic.Bool
+}
+
+// run writes the request and reads its reply. It tells whether the connection can be kept.
+func (x *exchange) run(ctx context.Context) (reply Reply, keep bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return Reply{}, true, eris.Wrapf(ErrNotSent, "%v", err)
+	}
+	stop := context.AfterFunc(ctx, x.abort)
+	reply, keep, err = x.roundTrip()
+	if !stop() || x.isAborted.Load() {
+		keep = false
+	}
+	return reply, keep, err
+}
+
+// abort ends the exchange with its connection.
+func (x *exchange) abort() {
+	x.isAborted.Store(true)
+	_ = x.connection.socket.SetDeadline(time.Unix(1, 0))
+}
+
+// roundTrip writes the request and reads replies until one answers it.
+func (x *exchange) roundTrip() (Reply, bool, error) {
+	if _, err := x.connection.socket.Write(x.encode()); err != nil {
+		return Reply{}, false, eris.Wrapf(ErrLost, "write: %v", err)
+	}
+	for range 1 + maxForeignReplies {
+		reply, keep, err := x.read()
+		if err != nil {
+			return Reply{}, false, eris.Wrapf(ErrLost, "read: %v", err)
+		}
+		if reply.Facts.Request == x.request.ID {
+			return reply, keep, nil
+		}
+		x.sender.foreign.Inc(1)
+		if !keep {
+			return Reply{}, false, eris.Wrapf(ErrLost, "reply to request %q", reply.Facts.Request)
+		}
+	}
+	return Reply{}, false, eris.Wrap(ErrLost, "replies to other requests")
+}
+
+// encode renders the request with the attempt's headers.
+func (x *exchange) encode() []byte {
+	r := x.request
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	remaining := time.Duration(0)
+	if !x.deadline.IsZero() {
+		remaining = max(time.Millisecond, x.deadline.Sub(x.sender.clock.Now()))
+	}
+	x.sender.protocol.Stamp(header, Attempt{Remaining: remaining, Server: x.to.ID})
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	// Writes to a bytes.Buffer do not fail.
+	_ = header.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// read reads one final reply.
+func (x *exchange) read() (reply Reply, keep bool, err error) {
+	for {
+		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
+		if err != nil {
+			return Reply{}, false, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return x.readBody(response)
+		}
+	}
+}
+
+// readBody reads a reply's whole body.
+func (x *exchange) readBody(response *http.Response) (Reply, bool, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil {
+		return Reply{}, false, err
+	}
+	if len(body) > maxReplyBytes {
+		return Reply{}, false, eris.Errorf("reply exceeds %d bytes", maxReplyBytes)
+	}
+	reply := Reply{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body,
+		Facts:  x.sender.protocol.Facts(response.StatusCode, response.Header),
+	}
+	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	keep := isFramed && !response.Close && x.connection.reader.Buffered() == 0
+	x.connection.usableUntil = x.sender.clock.Now().Add(idleLimit(response.Header) - idleMargin)
+	return reply, keep, nil
+}
+
+// idleLimit reads how long a server keeps an idle connection.
+func idleLimit(header http.Header) time.Duration {
+	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return defaultIdleLimit
+}
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,203 @@
+// Package sender passes opaque HTTP/1.1 requests to backend servers, each over a kept
+// connection that carries one request at a time. It never sends a request twice, and it
+// tells a request that certainly did not leave from one that may have run.
+package sender
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/timekeeper"
+)
+
+const (
+	// dialTimeout bounds opening one connection.
+	dialTimeout = 300 * time.Millisecond
+	// defaultIdleLimit is how long a connection stays usable if the server names no time.
+	defaultIdleLimit = 10 * time.Second
+	// idleMargin is how much before a server's idle timeout a connection is given up, so
+	// that no request crosses the server's close.
+	idleMargin = time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged before the connection counts
+	// as lost.
+	userTimeout = 2 * time.Second
+	// maxReplyBytes bounds the body of a reply.
+	maxReplyBytes = 4 << 20
+	// maxForeignReplies is how many replies to other requests are skipped on a connection.
+	maxForeignReplies = 2
+	// readerBytes is the size of a connection's read buffer.
+	readerBytes = 8 << 10
+)
+
+var (
+	// ErrNotSent reports that no byte of the request left this process.
+	ErrNotSent = eris.New("request not sent")
+	// ErrLost reports that the request may have run and its reply is lost.
+	ErrLost = eris.New("reply lost")
+)
+
+// Protocol names what travels in headers beside the request itself.
+type Protocol interface {
+	// Stamp writes an attempt's own headers into those of the request.
+	Stamp(header http.Header, attempt Attempt)
+	// Facts reads what a server says of itself and of the request in a reply's headers.
+	Facts(status int, header http.Header) Facts
+}
+
+// Attempt is what one server is told besides the request.
+type Attempt struct {
+	// Remaining is how much longer the caller waits. Zero means no bound.
+	Remaining time.Duration
+	// Server is the only server that may run the request.
+	Server encoder.ServerID
+}
+
+// Facts are what a reply's headers tell.
+type Facts struct {
+	// Request is the identifier of the request that the reply answers. It is empty if the
+	// server does not say.
+	Request string
+	// Stamp is the server's signature of its answer.
+	Stamp string
+	// NotRun says that the server did not run the request.
+	NotRun bool
+	// IsElsewhere says that the address belongs to another server.
+	IsElsewhere bool
+	// HasLoad says that Running, Waiting and Slots are known.
+	HasLoad bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Request is a caller's request as it is passed on.
+type Request struct {
+	// ID is the caller's identifier, which the reply echoes.
+	ID     string
+	Method string
+	// Target is the path and query as they arrived.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is a server's whole answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Facts  Facts
+}
+
+// Destination is the server that a request goes to.
+type Destination struct {
+	Address netip.AddrPort
+	ID      encoder.ServerID
+	// Connections bounds the connections that this process holds to the server.
+	Connections int
+}
+
+// Sender keeps the connections. It is safe for concurrent use.
+type Sender struct {
+	// Set at creation.
+	clock    timekeeper.Clock
+	protocol Protocol
+	dialer   net.Dialer
+	opened   metrics.Counter
+	foreign  metrics.Counter
+
+	// Guarded by mutex.
+	mutex    sync.Mutex
+	isClosed bool
+	pools    map[netip.AddrPort]*pool
+}
+
+// New returns a Sender without connections.
+func New(protocol Protocol, clock timekeeper.Clock, registry metrics.Registry) *Sender {
+	return &Sender{
+		clock:    clock,
+		protocol: protocol,
+		dialer: net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+			Control:         setUserTimeout,
+		},
+		opened:  metrics.GetOrRegisterCounter("sender_connections_opened", registry),
+		foreign: metrics.GetOrRegisterCounter("sender_foreign_replies", registry),
+		pools:   map[netip.AddrPort]*pool{},
+	}
+}
+
+// Send passes a request to a server and returns its whole reply. Its errors wrap ErrNotSent
+// or ErrLost. The end of the context closes the connection.
+func (s *Sender) Send(ctx context.Context, to Destination, request *Request, deadline time.Time) (Reply, error) {
+	p := s.pool(to.Address)
+	if p == nil {
+		return Reply{}, eris.Wrap(ErrNotSent, "the sender is closed")
+	}
+	c, err := p.acquire(ctx, to)
+	if err != nil {
+		return Reply{}, eris.Wrapf(ErrNotSent, "%v", err)
+	}
+	x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline}
+	reply, keep, err := x.run(ctx)
+	p.release(c, keep)
+	return reply, err
+}
+
+// Warm opens connections until a server has as many as wanted.
+func (s *Sender) Warm(ctx context.Context, to Destination, wanted int) error {
+	p := s.pool(to.Address)
+	if p == nil {
+		return eris.Wrap(ErrNotSent, "the sender is closed")
+	}
+	return p.warm(ctx, to, wanted)
+}
+
+// Retain closes the idle connections to all other addresses.
+func (s *Sender) Retain(addresses map[netip.AddrPort]encoder.ServerID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for a, p := range s.pools {
+		id, ok := addresses[a]
+		if !ok || !p.belongs(id) {
+			p.close()
+			delete(s.pools, a)
+		}
+	}
+}
+
+// Close closes the idle connections. Those in use close when their requests end.
+func (s *Sender) Close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.isClosed = true
+	for _, p := range s.pools {
+		p.close()
+	}
+	clear(s.pools)
+}
+
+// pool returns the connections to an address, or nil after Close.
+func (s *Sender) pool(address netip.AddrPort) *pool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.isClosed {
+		return nil
+	}
+	p := s.pools[address]
+	if p == nil {
+		p = &pool{sender: s, address: address, freed: make(chan struct{})}
+		s.pools[address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,318 @@
+// Package watcher is a dock's side of control in a routed deployment. It watches every keeper,
+// puts committed configurations in force, merges what the keepers say of the backend servers,
+// and knows whether the dock is in touch with a majority.
+package watcher
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/timekeeper"
+)
+
+const (
+	// watchWait is how long a keeper without news holds a watch.
+	watchWait = time.Second
+	// watchTimeout bounds a watch.
+	watchTimeout = 2500 * time.Millisecond
+	// fetchTimeout bounds the transfer of a configuration.
+	fetchTimeout = 2 * time.Second
+	// pauseAfterFailure is the time until the next watch of a keeper that did not answer.
+	pauseAfterFailure = 250 * time.Millisecond
+	// freshness is how long a keeper's answer shows that the dock is in touch with it.
+	freshness = 3 * time.Second
+	// refreshInterval is how often the servers are worked out anew without news, since some
+	// reports count less when they age.
+	refreshInterval = 500 * time.Millisecond
+)
+
+// Compile reads a configuration's text.
+type Compile func(text []byte) (*matcher.Table, error)
+
+// Sink is told what the watcher learns. Its methods return at once.
+type Sink interface {
+	Configure(t *matcher.Table)
+	UpdateServers(services map[identifier.ServiceName][]locator.Server)
+	SetDocks(n int)
+}
+
+// Watcher watches the keepers. It is safe for concurrent use.
+type Watcher struct {
+	// Set at creation.
+	pool    *linker.Pool
+	compile Compile
+	sink    Sink
+	clock   timekeeper.Clock
+	log     zerolog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+
+	// fetching admits one transfer of a configuration at a time.
+	fetching sync.Mutex
+
+	// Guarded by mutex.
+	mutex         sync.Mutex
+	seeds         []netip.AddrPort
+	keepers       map[netip.AddrPort]*keeper
+	catalog       *locator.Catalog
+	configuration uint64
+	membersDigest uint64
+	voters        int
+}
+
+// keeper is the watch of one keeper.
+type keeper struct {
+	// Set at creation.
+	watcher *Watcher
+	address netip.AddrPort
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// Owned by run.
+	process identifier.Incarnation
+	seen    uint64
+
+	// Guarded by the watcher's mutex.
+	heard    time.Time
+	isVoter  bool
+	isMember bool
+	docks    int
+}
+
+// New starts to watch the keepers that the seeds lead to.
+func New(seeds []netip.AddrPort, pool *linker.Pool, compile Compile, sink Sink, clock timekeeper.Clock, log zerolog.Logger) *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{
+		pool:    pool,
+		compile: compile,
+		sink:    sink,
+		clock:   clock,
+		log:     log,
+		ctx:     ctx,
+		cancel:  cancel,
+		keepers: map[netip.AddrPort]*keeper{},
+		catalog: locator.NewCatalog(),
+	}
+	w.SetSeeds(seeds)
+	w.tasks.Add(1)
+	go w.loop()
+	return w
+}
+
+// SetSeeds replaces the addresses that are watched besides the members.
+func (w *Watcher) SetSeeds(seeds []netip.AddrPort) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.seeds = seeds
+	for _, a := range seeds {
+		w.watch(a)
+	}
+}
+
+// Close ends all watches and waits for them.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.tasks.Wait()
+}
+
+// IsFresh tells whether a majority of the voters answered lately.
+func (w *Watcher) IsFresh() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := w.clock.Now()
+	n := 0
+	for _, k := range w.keepers {
+		if k.isVoter && now.Sub(k.heard) < freshness {
+			n++
+		}
+	}
+	return w.voters > 0 && 2*n > w.voters
+}
+
+// loop works out the servers at intervals.
+func (w *Watcher) loop() {
+	defer w.tasks.Done()
+	ticker := w.clock.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-ticker.C:
+			w.mutex.Lock()
+			w.publish()
+			w.mutex.Unlock()
+		}
+	}
+}
+
+// publish tells the sink which servers there are. The caller holds the lock.
+func (w *Watcher) publish() {
+	w.sink.UpdateServers(w.catalog.Servers(w.clock.Now()))
+	docks := 1
+	for _, k := range w.keepers {
+		docks = max(docks, k.docks)
+	}
+	w.sink.SetDocks(docks)
+}
+
+// watch starts to watch an address unless it is watched. The caller holds the lock.
+func (w *Watcher) watch(address netip.AddrPort) *keeper {
+	k := w.keepers[address]
+	if k != nil || w.ctx.Err() != nil {
+		return k
+	}
+	k = &keeper{watcher: w, address: address}
+	k.ctx, k.cancel = context.WithCancel(w.ctx)
+	w.keepers[address] = k
+	w.tasks.Add(1)
+	go k.run()
+	return k
+}
+
+// run watches until the keeper is no member any more.
+func (k *keeper) run() {
+	w := k.watcher
+	defer w.tasks.Done()
+	for k.ctx.Err() == nil {
+		reply, err := k.call()
+		if err != nil {
+			k.fail(err)
+			k.pause()
+			continue
+		}
+		w.take(k, reply)
+		w.fetch(k, reply.Configuration)
+	}
+}
+
+// call performs one watch.
+func (k *keeper) call() (encoder.WatchReply, error) {
+	w := k.watcher
+	ctx, cancel := context.WithTimeout(k.ctx, watchTimeout)
+	defer cancel()
+	w.mutex.Lock()
+	request := encoder.WatchRequest{
+		Keeper:        k.process,
+		Seen:          k.seen,
+		Configuration: w.configuration,
+		MembersDigest: w.membersDigest,
+		Wait:          watchWait,
+	}
+	w.mutex.Unlock()
+	return linker.Call[encoder.WatchRequest, encoder.WatchReply](ctx, w.pool.Link(k.address), encoder.KindWatch, request)
+}
+
+// fail notes that the keeper did not answer.
+func (k *keeper) fail(err error) {
+	w := k.watcher
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if k.ctx.Err() != nil {
+		return
+	}
+	if !k.heard.IsZero() {
+		w.log.Warn().Err(err).Stringer("keeper", k.address).Msg("keeper lost")
+	}
+	k.heard = time.Time{}
+	w.catalog.Disconnect(w.clock.Now(), k.address)
+}
+
+// pause waits before the next attempt.
+func (k *keeper) pause() {
+	timer := k.watcher.clock.NewTimer(pauseAfterFailure)
+	defer timer.Stop()
+	select {
+	case <-k.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// take puts a reply's news together with those of the other keepers.
+func (w *Watcher) take(k *keeper, reply encoder.WatchReply) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := w.clock.Now()
+	if k.heard.IsZero() {
+		w.log.Info().Stringer("keeper", k.address).Msg("keeper found")
+	}
+	k.heard = now
+	k.isVoter = reply.IsVoter
+	k.docks = reply.Docks
+	k.process = reply.Keeper
+	k.seen = reply.Seen
+	w.catalog.Update(now, k.address, reply.IsWhole, reply.Servers)
+	if len(reply.Members) > 0 && (reply.IsLeader || w.membersDigest == 0) {
+		w.follow(reply)
+	}
+	if reply.IsWhole || len(reply.Servers) > 0 {
+		w.publish()
+	}
+}
+
+// follow watches the members and no others. The seeds stay until a leader is heard. The
+// caller holds the lock.
+func (w *Watcher) follow(reply encoder.WatchReply) {
+	w.voters = reply.Voters
+	for _, k := range w.keepers {
+		k.isMember = false
+	}
+	for _, m := range reply.Members {
+		if k := w.watch(m.Address); k != nil {
+			k.isMember = true
+		}
+	}
+	if !reply.IsLeader {
+		return
+	}
+	w.membersDigest = reply.MembersDigest
+	for address, k := range w.keepers {
+		if !k.isMember {
+			k.cancel()
+			delete(w.keepers, address)
+			w.catalog.Remove(address)
+		}
+	}
+}
+
+// fetch gets a configuration that is newer than the one in force.
+func (w *Watcher) fetch(k *keeper, number uint64) {
+	w.fetching.Lock()
+	defer w.fetching.Unlock()
+	w.mutex.Lock()
+	known := w.configuration
+	w.mutex.Unlock()
+	if number <= known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, fetchTimeout)
+	defer cancel()
+	text, err := linker.Call[encoder.FetchRequest, encoder.ManifestText](ctx, w.pool.Link(k.address), encoder.KindFetch, encoder.FetchRequest{})
+	if err != nil {
+		w.log.Warn().Err(err).Stringer("keeper", k.address).Uint64("number", number).Msg("configuration not fetched")
+		return
+	}
+	table, err := w.compile(text.Text)
+	if err != nil {
+		w.log.Error().Err(err).Uint64("number", text.Number).Msg("committed configuration is invalid")
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if text.Number <= w.configuration {
+		return
+	}
+	w.configuration = text.Number
+	w.sink.Configure(table)
+	w.log.Info().Uint64("number", text.Number).Uint64("before", known).Stringer("keeper", k.address).Msg("configuration in force")
+}
