--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -50,6 +51,10 @@
 	Events      *tracer.Tracer
 	Invariants  *asserter.Asserter
 	Operator    *Operator
+
+	// Guarded by reloadMutex.
+	reloadMutex sync.Mutex
+	onReload    []func(settings Settings)
 }
 
 // Self names this process in link handshakes.
@@ -88,9 +93,14 @@
 		_, _ = fmt.Fprintf(stdout, "%s: ok\n", arguments.Settings)
 		return ExitOK
 	}
-	p := newProcess(program, settings.Process(), stderr)
+	p := newProcess(program, settings.Process(), stdout)
 	ctx, stop := p.signalContext()
 	defer stop()
+	reloads := startReloader(ctx, p, arguments.Settings, read)
+	defer func() {
+		stop()
+		reloads.tasks.Wait()
+	}()
 	if err := p.run(ctx, func(ctx context.Context) error { return serve(ctx, p, settings) }); err != nil {
 		p.Log.Error().Err(err).Msg("stopped by an error")
 		return ExitFailure
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -93,6 +93,7 @@
 		Seed:   uint64(p.Incarnation),
 	}, d.sender, p.Clock, p.Log)
 	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, wire.Compile, d.forwarder, p.Clock, p.Log)
+	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
 	p.Metrics.Computed("configuration_number", measurer.Count, "Number of the configuration in force.", d.number)
 	if err := d.listen(settings.ReadinessAddress, wire.Readiness(d)); err != nil {
@@ -114,6 +115,13 @@
 	return err
 }
 
+// reload takes over what may change while the dock runs: where keepers are found.
+func (d *Dock) reload(settings launcher.Settings) {
+	if s, ok := settings.(*settingsreader.RouteDock); ok {
+		d.watcher.SetSeeds(s.LinkSeeds())
+	}
+}
+
 // Forwarder answers callers' requests.
 func (d *Dock) Forwarder() *forwarder.Forwarder { return d.forwarder }
 
