--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -58,7 +58,7 @@
 	code, stdout, stderr = program{}.run(t)
 	assert.Equal(t, code, ExitUsage)
 	assert.Assert(t, strings.Contains(stderr, "error: SETTINGS is required") && stdout == "", "%s%s", stderr, stdout)
-	code, log, _ = program{line: []string{"--settings", "x", "--frob"}}.run(t)
+	code, _, stderr = program{line: []string{"--settings", "x", "--frob"}}.run(t)
 	assert.Equal(t, code, ExitUsage)
 	assert.Assert(t, strings.Contains(stderr, "--frob"))
 	code, stdout, _ = program{line: []string{"--settings", "x", "--check"}}.run(t)
@@ -84,7 +84,7 @@
 	l, err := net.Listen("tcp", settings.OperatorAddress.String())
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
-	code, _, stderr = program{line: []string{"--settings", "x"}, settings: settings}.run(t)
+	code, log, _ = program{line: []string{"--settings", "x"}, settings: settings}.run(t)
 	assert.Equal(t, code, ExitFailure)
 	assert.Assert(t, strings.Contains(log, "address already in use"))
 }
--- a/processes/deployment_test.go
+++ b/processes/deployment_test.go
@@ -76,7 +76,6 @@
 	assert.NilError(t, err)
 	p.command = exec.Command(filepath.Join(binaries, p.name), p.args...)
 	p.command.Stdout = log
-	p.command.Stdout = log
 	p.command.Stderr = log
 	assert.NilError(t, p.command.Start())
 	p.exited = make(chan struct{})
