--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/measurer"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/timekeeper"
@@ -50,7 +51,7 @@
 	clock    timekeeper.Clock
 	selector *selector.Selector
 	sender   *sender.Sender
-	log      zerolog.Logger
+	reporter *reporter
 	tasks    sync.WaitGroup
 
 	// Written by Configure.
@@ -64,12 +65,12 @@
 }
 
 // New returns a Forwarder without a configuration.
-func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger) *Forwarder {
+func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger, metrics *measurer.Registry) *Forwarder {
 	return &Forwarder{
 		clock:     clock,
 		selector:  selector.New(settings.Domain, settings.Budget, settings.Seed),
 		sender:    s,
-		log:       log,
+		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
 		wheels:    map[matcher.RouteName]*wheel{},
 		docks:     1,
@@ -116,15 +117,9 @@
 	}
 	q := f.newQuery(ctx, table, route, r)
 	defer q.finish()
-	switch d := route.Destination.(type) {
-	case matcher.Single:
-		return q.forward(d.Service)
-	case matcher.Weighted:
-		return q.forward(f.wheel(route.Name).next(d.Shares))
-	case matcher.Scatter:
-		return q.scatter(d)
-	}
-	return NoRoute{}
+	o := q.answer()
+	f.reporter.report(q, f.clock.Now(), o)
+	return o
 }
 
 // latency returns the estimates of a route's latency at one server.
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -16,8 +16,6 @@
 	maxSends = 6
 	// defaultAttempts is used for a route that does not bound its attempts.
 	defaultAttempts = 2
-	// leastHedgeDelay keeps hedges from going out before an answer can be back.
-	leastHedgeDelay = 4 * time.Millisecond
 )
 
 // job gets one service's answer to a request. One goroutine runs it.
@@ -34,14 +32,15 @@
 	// hasSent is set once a byte of the request may have left.
 	hasSent atomic.Bool
 
+	trace trace
+
 	// Written by run.
-	asked    []encoder.ServerID
-	running  int
-	runs     int
-	sends    int
-	failure  *sender.Reply
-	reason   Reason
-	isHedged bool
+	asked   []encoder.ServerID
+	running int
+	runs    int
+	sends   int
+	failure *sender.Reply
+	reason  Reason
 }
 
 // attempt is one request to one server.
@@ -49,13 +48,16 @@
 	job     *job
 	target  selector.Target
 	isExtra bool
+	// number is the attempt's place in the job's trace.
+	number int
 }
 
 // attemptResult is what became of an attempt.
 type attemptResult struct {
 	attempt *attempt
-	reply   *sender.Reply
-	err     error
+	ending  Ending
+	// reply is nil unless a server replied.
+	reply *sender.Reply
 }
 
 // newJob prepares a request to one service.
@@ -80,12 +82,14 @@
 func (j *job) run() {
 	f := j.query.forwarder
 	f.selector.CountRequest(j.service)
-	if !j.launch(false) {
+	if !j.launch(CauseFirst, false) {
 		j.finish(result{reason: ReasonNoServer})
 		return
 	}
-	hedge := f.clock.NewTimer(j.hedgeDelay())
+	early, latest := selector.HedgeTimes(j.latency.Median(), j.latency.High(), j.remaining())
+	hedge := f.clock.NewTimer(early)
 	defer hedge.Stop()
+	need := selector.NeedEarly
 	for {
 		select {
 		case <-j.stopped:
@@ -93,7 +97,10 @@
 		case <-j.query.ctx.Done():
 			return
 		case <-hedge.C:
-			j.hedge()
+			if !j.hedge(need) && need == selector.NeedEarly {
+				need = selector.NeedLate
+				hedge.Reset(latest - early)
+			}
 		case r := <-j.results:
 			j.running--
 			if j.take(r) {
@@ -103,26 +110,31 @@
 	}
 }
 
-// hedgeDelay is how long the first server may take before a second one is asked.
-func (j *job) hedgeDelay() time.Duration {
-	high := j.latency.High()
-	if high == 0 {
-		high = j.query.route.LatencyTarget / 3
+// remaining is how long the answer may take to be in time.
+func (j *job) remaining() time.Duration {
+	if j.query.target.IsZero() {
+		return 0
 	}
-	return max(leastHedgeDelay, high)
+	return j.query.target.Sub(j.query.forwarder.clock.Now())
 }
 
-// hedge asks a second server if the request may be repeated and the budget allows it.
-func (j *job) hedge() {
-	if !j.query.route.Idempotent || !j.mayRunMore() || j.running == 0 {
-		return
+// hedge asks a second server if the request may be repeated and the budget allows it. It
+// returns false if asking later may make a difference.
+func (j *job) hedge(need selector.Need) bool {
+	if !j.query.route.Idempotent || !j.mayRunMore() {
+		return true
 	}
-	if !j.query.forwarder.selector.MayRepeat(j.service, true) {
-		return
+	f := j.query.forwarder
+	if !f.selector.MayRepeat(j.service, need) {
+		j.trace.deny(ReasonBudget)
+		return false
 	}
-	if !j.launch(true) {
-		j.query.forwarder.selector.ReturnRepeat(j.service)
+	if j.launch(CauseHedge, true) {
+		return true
 	}
+	j.trace.deny(ReasonNoServer)
+	f.selector.ReturnRepeat(j.service)
+	return false
 }
 
 // mayRunMore tells whether a further server may run the request.
@@ -136,9 +148,10 @@
 
 // launch sends the request to the best server that was not asked yet. It returns false if
 // there is none.
-func (j *job) launch(isExtra bool) bool {
+func (j *job) launch(cause Cause, isExtra bool) bool {
 	f := j.query.forwarder
-	target, ok := f.selector.Choose(f.clock.Now(), j.service, j.asked)
+	now := f.clock.Now()
+	target, ok := f.selector.Choose(now, j.service, j.asked)
 	if !ok {
 		return false
 	}
@@ -147,7 +160,8 @@
 	j.runs++
 	j.running++
 	f.tasks.Add(1)
-	go (&attempt{job: j, target: target, isExtra: isExtra}).run()
+	number := j.trace.begin(cause, target, now.Sub(j.query.request.Arrived))
+	go (&attempt{job: j, target: target, isExtra: isExtra, number: number}).run()
 	return true
 }
 
@@ -167,23 +181,49 @@
 	began := f.clock.Now()
 	reply, err := f.sender.Send(q.ctx, to, &q.request.Request, q.deadline)
 	now := f.clock.Now()
+	ending := a.judge(&reply, err)
+	a.learn(now, flight, ending, &reply)
+	j.trace.end(a.number, now.Sub(began), ending, reply.Status, err)
+	r := attemptResult{attempt: a, ending: ending}
+	if err == nil {
+		r.reply = &reply
+	}
+	j.results <- r
+}
+
+// judge says what became of the attempt.
+func (a *attempt) judge(reply *sender.Reply, err error) Ending {
 	switch {
+	case err == nil && reply.Facts.NotRun:
+		return EndingNotRun
+	case err == nil && isSuccess(reply):
+		return EndingAnswered
 	case err == nil:
-		isFailure := !isSuccess(&reply)
-		if !isFailure {
-			j.latency.Observe(now.Sub(began))
-		}
-		f.selector.Answered(now, flight, isFailure, load(reply.Facts))
-	case q.ctx.Err() != nil:
-		f.selector.Cancelled(now, flight)
+		return EndingFailed
+	case a.job.query.ctx.Err() != nil:
+		return EndingCancelled
+	case errors.Is(err, sender.ErrNotSent):
+		return EndingNotSent
 	default:
-		f.selector.Lost(now, flight, errors.Is(err, sender.ErrNotSent))
+		return EndingLost
 	}
-	r := attemptResult{attempt: a, err: err}
-	if err == nil {
-		r.reply = &reply
+}
+
+// learn tells the selector what the attempt showed of the server.
+func (a *attempt) learn(now time.Time, flight *selector.Flight, ending Ending, reply *sender.Reply) {
+	f := a.job.query.forwarder
+	switch ending {
+	case EndingAnswered:
+		a.job.latency.Observe(f.selector.Answered(now, flight, false, load(reply.Facts)))
+	case EndingFailed, EndingNotRun:
+		f.selector.Answered(now, flight, true, load(reply.Facts))
+	case EndingNotSent:
+		f.selector.Lost(now, flight, true)
+	case EndingLost:
+		f.selector.Lost(now, flight, false)
+	case EndingRunning, EndingCancelled:
+		f.selector.Cancelled(now, flight)
 	}
-	j.results <- r
 }
 
 // load returns what a server said of its requests, if it did.
@@ -196,27 +236,30 @@
 
 // take decides what follows from an attempt's end. It returns true if the job is over.
 func (j *job) take(r attemptResult) bool {
-	f := j.query.forwarder
-	switch {
-	case r.err != nil && errors.Is(r.err, sender.ErrNotSent):
-		j.runs--
-		j.reason = ReasonNoServer
-		if r.attempt.isExtra {
-			f.selector.ReturnRepeat(j.service)
-		}
-		return j.again(true)
-	case r.err != nil:
+	switch r.ending {
+	case EndingAnswered:
+		j.finish(result{reply: r.reply, hasRun: true})
+		return true
+	case EndingFailed:
+		j.failure = r.reply
 		j.reason = ReasonLost
+		if !j.query.route.Idempotent {
+			j.finish(result{reply: r.reply, hasRun: true})
+			return true
+		}
 		return j.again(false)
-	case r.reply.Facts.NotRun:
+	case EndingNotRun:
 		j.runs--
 		j.reason = ReasonNotRun
 		return j.again(false)
-	case isSuccess(r.reply) || !j.query.route.Idempotent:
-		j.finish(result{job: j, reply: r.reply, hasRun: true})
-		return true
+	case EndingNotSent:
+		j.runs--
+		j.reason = ReasonNoServer
+		if r.attempt.isExtra {
+			j.query.forwarder.selector.ReturnRepeat(j.service)
+		}
+		return j.again(true)
 	default:
-		j.failure = r.reply
 		j.reason = ReasonLost
 		return j.again(false)
 	}
@@ -225,16 +268,10 @@
 // again asks another server in the place of one that failed. IsFree says that the failed
 // request never left, so that another one is no repeat.
 func (j *job) again(isFree bool) bool {
-	f := j.query.forwarder
 	mayRepeat := j.query.route.Idempotent || j.runs == 0
 	if mayRepeat && j.mayRunMore() {
-		if isFree || f.selector.MayRepeat(j.service, false) {
-			if j.launch(!isFree) {
-				return false
-			}
-			if !isFree {
-				f.selector.ReturnRepeat(j.service)
-			}
+		if j.retry(isFree) {
+			return false
 		}
 	}
 	if j.running > 0 {
@@ -244,6 +281,23 @@
 	return true
 }
 
+// retry asks another server. It returns false if there is none or the budget forbids it.
+func (j *job) retry(isFree bool) bool {
+	f := j.query.forwarder
+	if !isFree && !f.selector.MayRepeat(j.service, selector.NeedRetry) {
+		j.trace.deny(ReasonBudget)
+		return false
+	}
+	if j.launch(CauseRetry, !isFree) {
+		return true
+	}
+	j.trace.deny(ReasonNoServer)
+	if !isFree {
+		f.selector.ReturnRepeat(j.service)
+	}
+	return false
+}
+
 // finish reports the job's result.
 func (j *job) finish(r result) {
 	r.job = j
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"banyandock.example/banyandock/internal/identifier"
@@ -33,6 +32,9 @@
 	// target is when an answer must leave to be in time. It is zero without a target.
 	target time.Time
 
+	// jobs are the requests to the services of the route.
+	jobs []*job
+
 	// ctx ends when the caller has left or the deadline has passed. It outlives the query
 	// for requests whose answers are not needed any more.
 	ctx    context.Context
@@ -69,15 +71,24 @@
 // giveUpAt is when the caller must be told that there will be no answer.
 func (q *query) giveUpAt() time.Time { return q.deadline.Add(-timeoutMargin) }
 
-// hasCallerLeft tells whether nobody waits for the answer.
-func (q *query) hasCallerLeft() bool {
-	return errors.Is(q.ctx.Err(), context.Canceled)
+// answer asks the route's services.
+func (q *query) answer() Outcome {
+	switch d := q.route.Destination.(type) {
+	case matcher.Single:
+		return q.forward(d.Service)
+	case matcher.Weighted:
+		return q.forward(q.forwarder.wheel(q.route.Name).next(d.Shares))
+	case matcher.Scatter:
+		return q.scatter(d)
+	}
+	return NoRoute{}
 }
 
 // forward passes the request to one server of a service.
 func (q *query) forward(service identifier.ServiceName) Outcome {
 	j := newJob(q, service)
 	defer j.stop()
+	q.jobs = []*job{j}
 	timer := q.forwarder.clock.NewTimer(q.giveUpAt().Sub(q.forwarder.clock.Now()))
 	defer timer.Stop()
 	go j.run()
--- /dev/null
+++ b/internal/forwarder/report.go
@@ -0,0 +1,146 @@
+package forwarder
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/recorder"
+)
+
+// reportInterval is how often ordinary requests are counted in the log.
+const reportInterval = 10 * time.Second
+
+// reporter counts requests for log and metrics, and tells of those that were not answered
+// wholly and in time. It is safe for concurrent use.
+type reporter struct {
+	// Set at creation.
+	log     zerolog.Logger
+	metrics *measurer.Registry
+	latency *measurer.Latency
+
+	// Guarded by mutex.
+	mutex  sync.Mutex
+	counts map[string]int
+	since  time.Time
+}
+
+// newReporter returns a reporter that has counted nothing.
+func newReporter(log zerolog.Logger, m *measurer.Registry, now time.Time) *reporter {
+	return &reporter{
+		log:     log,
+		metrics: m,
+		latency: m.Latency("request_latency", "Time from a request's arrival to its outcome."),
+		counts:  map[string]int{},
+		since:   now,
+	}
+}
+
+// verdict is an outcome in short.
+type verdict struct {
+	name    string
+	reason  Reason
+	missing int
+	after   time.Duration
+	// isOrdinary says that the caller got all that it asked for.
+	isOrdinary bool
+}
+
+// judge puts an outcome in short.
+func judge(o Outcome) verdict {
+	switch o := o.(type) {
+	case Answer:
+		return verdict{name: "answered", isOrdinary: isSuccess(&o.Reply)}
+	case Gathered:
+		if o.Missing > 0 {
+			return verdict{name: "partial", missing: o.Missing}
+		}
+		return verdict{name: "whole", isOrdinary: true}
+	case Refused:
+		return verdict{name: "refused", reason: o.Reason, after: o.After}
+	case Failed:
+		return verdict{name: "failed", reason: o.Reason}
+	default:
+		return verdict{name: "no_route"}
+	}
+}
+
+// report counts a request's outcome and writes its line if it is not ordinary.
+func (r *reporter) report(q *query, now time.Time, o Outcome) {
+	v := judge(o)
+	elapsed := now.Sub(q.request.Arrived)
+	isLate := q.isLate(now)
+	r.count(now, q.route.Name, v, isLate, elapsed)
+	if v.isOrdinary && !isLate {
+		return
+	}
+	level := zerolog.InfoLevel
+	if v.name == "refused" || v.name == "failed" {
+		level = zerolog.WarnLevel
+	}
+	line := r.log.WithLevel(level).
+		Str(recorder.FieldRequest, q.request.ID).
+		Str(recorder.FieldRoute, string(q.route.Name)).
+		Uint64(recorder.FieldConfiguration, q.table.Number()).
+		Str(recorder.FieldOutcome, v.name).
+		Int64(recorder.FieldElapsed, elapsed.Milliseconds()).
+		Int64(recorder.FieldTimeout, q.deadline.Sub(q.request.Arrived).Milliseconds())
+	if v.reason != ReasonNone {
+		line = line.Stringer(recorder.FieldReason, v.reason)
+	}
+	if v.name == "refused" {
+		line = line.Int64(recorder.FieldRetryAfter, v.after.Milliseconds())
+	}
+	if len(q.jobs) > 1 {
+		line = line.Int(recorder.FieldShards, len(q.jobs)).Int(recorder.FieldMissing, v.missing)
+	}
+	line.Array(recorder.FieldJobs, q.unusualJobs()).Msg(recorder.EventRequest)
+}
+
+// count adds to the metrics and to the counts of the interval.
+func (r *reporter) count(now time.Time, route matcher.RouteName, v verdict, isLate bool, elapsed time.Duration) {
+	r.latency.Record(elapsed)
+	name := v.name
+	if v.reason != ReasonNone {
+		name += "_" + v.reason.String()
+	}
+	if isLate {
+		name += "_late"
+	}
+	r.metrics.Counter("requests_"+name, "Requests by outcome, reason and whether they missed their latency target.").Inc(1)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.counts[fmt.Sprintf("%s %s", route, name)]++
+	if now.Sub(r.since) < reportInterval {
+		return
+	}
+	r.since = now
+	list := zerolog.Arr()
+	for _, key := range slices.Sorted(maps.Keys(r.counts)) {
+		list = list.Str(fmt.Sprintf("%s %d", key, r.counts[key]))
+	}
+	clear(r.counts)
+	r.log.Info().Array(recorder.FieldCounts, list).Msg(recorder.EventRequests)
+}
+
+// isLate tells whether the latency target has passed.
+func (q *query) isLate(now time.Time) bool {
+	return q.route.LatencyTarget > 0 && now.Sub(q.request.Arrived) > q.route.LatencyTarget
+}
+
+// unusualJobs returns the attempts of the jobs that did not go plainly.
+func (q *query) unusualJobs() jobTraces {
+	list := jobTraces{}
+	for _, j := range q.jobs {
+		if !j.trace.isPlain() {
+			list = append(list, jobTrace{service: j.service, trace: &j.trace})
+		}
+	}
+	return list
+}
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -33,6 +33,7 @@
 		j := newJob(q, s)
 		j.done = g.results
 		defer j.stop()
+		q.jobs = append(q.jobs, j)
 		go j.run()
 	}
 	return g.collect()
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -17,6 +17,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/settingsreader"
 	"banyandock.example/banyandock/internal/timekeeper"
 	"banyandock.example/banyandock/internal/tracer"
@@ -93,7 +94,10 @@
 		_, _ = fmt.Fprintf(stdout, "%s: ok\n", arguments.Settings)
 		return ExitOK
 	}
-	p := newProcess(program, settings.Process(), stdout)
+	logs := recorder.NewWriter(stdout, timekeeper.System{})
+	// Closing gives no error.
+	defer func() { _ = logs.Close() }()
+	p := newProcess(program, settings.Process(), logs)
 	ctx, stop := p.signalContext()
 	defer stop()
 	reloads := startReloader(ctx, p, arguments.Settings, read)
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -91,7 +91,7 @@
 		Domain: settings.Domain,
 		Budget: selector.BudgetLimits{Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack},
 		Seed:   uint64(p.Incarnation),
-	}, d.sender, p.Clock, p.Log)
+	}, d.sender, p.Clock, p.Log, p.Metrics)
 	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, wire.Compile, d.forwarder, p.Clock, p.Log)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -10,8 +10,23 @@
 	ratioShare = 0.9
 	// slackShare is the part of the allowed slack that the hosts split.
 	slackShare = 0.7
-	// hedgeReserve is how many repeats are kept for requests that failed.
-	hedgeReserve = 2
+	// hedgeReserve is how many repeats a late hedge leaves for requests that failed, and
+	// earlyReserve the part of the capacity that an early hedge leaves for late ones.
+	hedgeReserve = 1
+	earlyReserve = 0.6
+)
+
+// Need says how badly a repeat is needed.
+type Need uint8
+
+// Needs.
+const (
+	// NeedEarly is a hedge of a request that may yet be answered in time.
+	NeedEarly Need = iota
+	// NeedLate is a hedge at the last moment at which it is of use.
+	NeedLate
+	// NeedRetry is another try of a request that failed.
+	NeedRetry
 )
 
 // BudgetLimits bound the repeats that all hosts together send to a service in any window: at
@@ -49,23 +64,31 @@
 	b.tokens = min(s.capacity(), b.tokens+ratioShare*s.limits.Ratio)
 }
 
-// MayRepeat takes one repeat from a service's budget. A hedge leaves some for requests that
-// failed.
-func (s *Selector) MayRepeat(service identifier.ServiceName, isHedge bool) bool {
+// MayRepeat takes one repeat from a service's budget, if enough is left for those that are
+// needed more.
+func (s *Selector) MayRepeat(service identifier.ServiceName, need Need) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	b := s.budget(service)
-	needed := 1.0
-	if isHedge {
-		needed += min(hedgeReserve, s.capacity()/2)
-	}
-	if b.tokens < needed {
+	if b.tokens < 1+s.reserve(need) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
+// reserve is what a repeat must leave in the budget.
+func (s *Selector) reserve(need Need) float64 {
+	switch need {
+	case NeedEarly:
+		return max(hedgeReserve, earlyReserve*s.capacity())
+	case NeedLate:
+		return min(hedgeReserve, s.capacity()/2)
+	default:
+		return 0
+	}
+}
+
 // ReturnRepeat gives back a repeat that never left.
 func (s *Selector) ReturnRepeat(service identifier.ServiceName) {
 	s.mutex.Lock()
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -88,6 +88,8 @@
 	Domain  identifier.DomainName
 	// Score is what the choice rested on: the expected latency in multiples of the usual.
 	Score float64
+	// Seen is how long ago the server was last observed.
+	Seen time.Duration
 }
 
 // Has tells whether a service has a server that may answer.
@@ -122,7 +124,7 @@
 	if best == nil {
 		return Target{}, false
 	}
-	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore}, true
+	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore, Seen: best.age(now)}, true
 }
 
 // contains tells whether an ID is in a short list.
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -95,6 +95,14 @@
 	return v.slowness
 }
 
+// age is how long ago the server was last observed. It is negative if it never was.
+func (v *server) age(now time.Time) time.Duration {
+	if v.observed.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(v.observed)
+}
+
 // slots is the number of requests that the server runs at once.
 func (v *server) slots() int { return max(1, v.info.Slots) }
 
@@ -126,19 +134,21 @@
 	Slots   int
 }
 
-// Answered notes that a server answered a request. A failure is an answer that is no use.
-func (s *Selector) Answered(now time.Time, f *Flight, isFailure bool, load *Load) {
+// Answered notes that a server answered a request, and returns after which time. A failure is
+// an answer that is no use.
+func (s *Selector) Answered(now time.Time, f *Flight, isFailure bool, load *Load) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	elapsed := now.Sub(f.started)
 	v := f.end()
 	if v == nil {
-		return
+		return elapsed
 	}
 	v.blocks = 0
 	v.blockedUntil = time.Time{}
 	v.observe(now, isFailure)
 	if !isFailure && f.usual > 0 {
-		ratio := float64(now.Sub(f.started)) / float64(f.usual)
+		ratio := float64(elapsed) / float64(f.usual)
 		v.slowness = v.currentSlowness() + slownessGain*(ratio-v.currentSlowness())
 	}
 	if load != nil && load.Slots > 0 {
@@ -146,6 +156,7 @@
 		v.queued = max(0, float64(others)) / float64(load.Slots)
 		v.reportedAt = now
 	}
+	return elapsed
 }
 
 // Lost notes that a request ended without an answer. IsUnreachable says that the server
