--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -8,9 +8,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -22,6 +25,8 @@
 	maxChanges = 4096
 	// maxWait bounds how long a watch may wait.
 	maxWait = 5 * time.Second
+	// saveInterval is how often a directory that has changed is saved.
+	saveInterval = time.Second
 	// dockTime is how long a dock counts after its last watch.
 	dockTime = 5 * time.Second
 )
@@ -44,6 +49,8 @@
 	self     identifier.Incarnation
 	clock    timekeeper.Clock
 	standing func() Standing
+	shelf    *Shelf
+	log      zerolog.Logger
 	stop     chan struct{}
 	tasks    sync.WaitGroup
 
@@ -56,24 +63,81 @@
 	docks   map[identifier.HostName]time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// saved is the number of the last change that is on the shelf.
+	saved uint64
 }
 
-// New starts a Broadcaster. Silence is how long a server may send no heartbeat.
-func New(self identifier.Incarnation, silence time.Duration, standing func() Standing, clock timekeeper.Clock) *Broadcaster {
+// New starts a Broadcaster with the directory that lies on the shelf. Silence is how long a
+// server may send no heartbeat.
+func New(self identifier.Incarnation, silence time.Duration, standing func() Standing, shelf *Shelf, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
 	b := &Broadcaster{
 		self:     self,
 		clock:    clock,
 		standing: standing,
+		shelf:    shelf,
+		log:      log,
 		stop:     make(chan struct{}),
 		book:     locator.NewBook(silence),
 		docks:    map[identifier.HostName]time.Time{},
 		changed:  make(chan struct{}),
 	}
-	b.tasks.Add(1)
+	b.restore()
+	b.tasks.Add(2)
 	go b.loop()
+	go (&saver{b}).loop()
 	return b
 }
 
+// restore takes in the directory of an earlier process.
+func (b *Broadcaster) restore() {
+	known, err := b.shelf.Load()
+	if err != nil {
+		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnread)
+		return
+	}
+	b.book.Restore(b.clock.Now(), known)
+}
+
+// saver saves the directory from time to time.
+type saver struct {
+	*Broadcaster
+}
+
+// loop saves what has changed.
+func (s *saver) loop() {
+	defer s.tasks.Done()
+	ticker := s.clock.NewTicker(saveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+			s.Save()
+		}
+	}
+}
+
+// Save puts the directory on the shelf if it has changed. A directory that cannot be saved
+// is missed only after a restart.
+func (b *Broadcaster) Save() {
+	b.mutex.Lock()
+	at := b.base + uint64(len(b.changes))
+	if at == b.saved {
+		b.mutex.Unlock()
+		return
+	}
+	all := b.book.All(b.clock.Now())
+	b.mutex.Unlock()
+	if err := b.shelf.Save(all); err != nil {
+		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnsaved)
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.saved = max(b.saved, at)
+}
+
 // Close ends the loop and all watches.
 func (b *Broadcaster) Close() {
 	close(b.stop)
--- a/internal/encoder/presence_enumer.go
+++ b/internal/encoder/presence_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PresenceName = "readydraininggone"
+const _PresenceName = "readydraininggonelost"
 
-var _PresenceIndex = [...]uint8{0, 5, 13, 17}
+var _PresenceIndex = [...]uint8{0, 5, 13, 17, 21}
 
-const _PresenceLowerName = "readydraininggone"
+const _PresenceLowerName = "readydraininggonelost"
 
 func (i Presence) String() string {
 	if i >= Presence(len(_PresenceIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[PresenceReady-0]
 	_ = x[PresenceDraining-1]
 	_ = x[PresenceGone-2]
+	_ = x[PresenceLost-3]
 }
 
-var _PresenceValues = []Presence{PresenceReady, PresenceDraining, PresenceGone}
+var _PresenceValues = []Presence{PresenceReady, PresenceDraining, PresenceGone, PresenceLost}
 
 var _PresenceNameToValueMap = map[string]Presence{
 	_PresenceName[0:5]:   PresenceReady,
 	_PresenceName[5:13]:  PresenceDraining,
 	_PresenceName[13:17]: PresenceGone,
+	_PresenceName[17:21]: PresenceLost,
 }
 
 var _PresenceLowerNameToValueMap = map[string]Presence{
 	_PresenceLowerName[0:5]:   PresenceReady,
 	_PresenceLowerName[5:13]:  PresenceDraining,
 	_PresenceLowerName[13:17]: PresenceGone,
+	_PresenceLowerName[17:21]: PresenceLost,
 }
 
 var _PresenceNames = []string{
 	_PresenceName[0:5],
 	_PresenceName[5:13],
 	_PresenceName[13:17],
+	_PresenceName[17:21],
 }
 
 // PresenceString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -11,7 +11,7 @@
 type ServerID string
 
 // Presence says whether a registered backend server takes work. Within one start of a
-// server it only grows.
+// server it only grows, but for PresenceLost.
 type Presence uint8
 
 // Presences.
@@ -22,6 +22,9 @@
 	PresenceDraining
 	// PresenceGone servers have left, or another server has their address.
 	PresenceGone
+	// PresenceLost servers were silent for so long that the keeper has forgotten them. It
+	// says nothing against another keeper's word.
+	PresenceLost
 )
 
 // Registration describes one start of a backend server of an opaque service.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,8 +21,13 @@
 )
 
 const (
-	// retrySoon is when a caller may come back to a host that cannot serve yet.
+	// retrySoon is when a caller may come back whose request was turned away.
 	retrySoon = 500 * time.Millisecond
+	// startTime is how long a host that has just started needs to learn the configuration and
+	// the servers. Callers that come earlier are told when it ends.
+	startTime = 900 * time.Millisecond
+	// leastRetry is the shortest time that callers are told to wait.
+	leastRetry = 200 * time.Millisecond
 	// hedgeShare is the quantile of a route's latency after which a second server is asked.
 	hedgeShare = 0.88
 )
@@ -52,6 +57,7 @@
 	selector *selector.Selector
 	sender   *sender.Sender
 	reporter *reporter
+	started  time.Time
 	tasks    sync.WaitGroup
 
 	// Written by Configure.
@@ -70,6 +76,7 @@
 		clock:     clock,
 		selector:  selector.New(settings.Domain, settings.Budget, settings.Seed),
 		sender:    s,
+		started:   clock.Now(),
 		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
 		wheels:    map[matcher.RouteName]*wheel{},
@@ -109,7 +116,7 @@
 func (f *Forwarder) Handle(ctx context.Context, r *Request) Outcome {
 	table := f.table.Load()
 	if table == nil {
-		return Refused{After: retrySoon, Reason: ReasonNoConfiguration}
+		return Refused{After: f.comeBack(), Reason: ReasonNoConfiguration}
 	}
 	route := table.Match(r.Host, r.Path)
 	if route == nil {
@@ -122,6 +129,15 @@
 	return o
 }
 
+// comeBack is when a caller may come back to a host that cannot serve.
+func (f *Forwarder) comeBack() time.Duration {
+	age := f.clock.Now().Sub(f.started)
+	if age < startTime {
+		return max(leastRetry, startTime-age)
+	}
+	return retrySoon
+}
+
 // latency returns the estimates of a route's latency at one server.
 func (f *Forwarder) latency(route matcher.RouteName) *selector.Latencies {
 	f.mutex.Lock()
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -132,6 +132,6 @@
 	case r.hasRun:
 		return Failed{Reason: r.reason}
 	default:
-		return Refused{After: retrySoon, Reason: r.reason}
+		return Refused{After: r.job.query.forwarder.comeBack(), Reason: r.reason}
 	}
 }
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -27,7 +27,7 @@
 		}
 	}
 	if !g.isEnough(reachable) {
-		return Refused{After: retrySoon, Reason: ReasonNoServer}
+		return Refused{After: f.comeBack(), Reason: ReasonNoServer}
 	}
 	for _, s := range d.Services {
 		j := newJob(q, s)
--- a/internal/locator/book.go
+++ b/internal/locator/book.go
@@ -18,6 +18,9 @@
 	tombstoneTime = 60 * time.Second
 	// forgetTime is how long a silent server is remembered.
 	forgetTime = 30 * time.Second
+	// restoredTime is how long a server is remembered that was restored and sends no
+	// heartbeat: it may have left while nobody listened.
+	restoredTime = 2500 * time.Millisecond
 )
 
 // Book is what one keeper knows of the servers. It is not safe for concurrent use.
@@ -33,6 +36,8 @@
 	registration encoder.Registration
 	heard        time.Time
 	coldUntil    time.Time
+	// isRestored says that the server has sent no heartbeat since the book was restored.
+	isRestored bool
 }
 
 // NewBook returns an empty Book.
@@ -71,6 +76,7 @@
 	}
 	e.registration = r
 	e.heard = now
+	e.isRestored = false
 	e.coldUntil = now.Add(r.Cold)
 	if r.State != encoder.PresenceGone {
 		b.byAddress[r.Address] = r.ID
@@ -107,8 +113,8 @@
 			if quiet > tombstoneTime {
 				delete(b.entries, id)
 			}
-		case quiet > forgetTime:
-			changed = append(changed, b.end(now, e))
+		case quiet > forgetTime, e.isRestored && quiet > restoredTime:
+			changed = append(changed, b.forget(now, e))
 		case quiet > b.silence && !e.registration.Silent:
 			e.registration.Silent = true
 			changed = append(changed, e.describe(now))
@@ -148,6 +154,29 @@
 	return e.describe(now)
 }
 
+// forget removes a server that was silent for long. It may come back.
+func (b *Book) forget(now time.Time, e *entry) encoder.Registration {
+	r := e.describe(now)
+	r.State = encoder.PresenceLost
+	delete(b.entries, r.ID)
+	if b.byAddress[r.Address] == r.ID {
+		delete(b.byAddress, r.Address)
+	}
+	return r
+}
+
+// Restore takes in what was known before a restart. The servers confirm themselves by their
+// next heartbeats or are forgotten.
+func (b *Book) Restore(now time.Time, registrations []encoder.Registration) {
+	for _, r := range registrations {
+		e := &entry{registration: r, heard: now, isRestored: true, coldUntil: now.Add(r.Cold)}
+		b.entries[r.ID] = e
+		if r.State != encoder.PresenceGone {
+			b.byAddress[r.Address] = r.ID
+		}
+	}
+}
+
 // describe returns the registration as of now.
 func (e *entry) describe(now time.Time) encoder.Registration {
 	r := e.registration
--- a/internal/locator/catalog.go
+++ b/internal/locator/catalog.go
@@ -64,6 +64,10 @@
 		r.servers = map[encoder.ServerID]held{}
 	}
 	for _, s := range servers {
+		if s.State == encoder.PresenceLost {
+			delete(r.servers, s.ID)
+			continue
+		}
 		r.servers[s.ID] = held{registration: s, coldUntil: now.Add(s.Cold)}
 	}
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -39,6 +39,9 @@
 	EventNotFresh = "out of touch with the keepers"
 	// EventAgreement tells a change in the keepers' agreement.
 	EventAgreement = "agreement"
+	// EventDirectoryUnread and EventDirectoryUnsaved tell of a keeper's file of the directory.
+	EventDirectoryUnread  = "directory not read"
+	EventDirectoryUnsaved = "directory not saved"
 	// EventDropped counts log lines that were dropped.
 	EventDropped = "log lines dropped"
 )
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -131,7 +131,9 @@
 		}
 		k.process.Log.Info().Str("server", string(r.ID)).Str("service", string(r.Service)).
 			Stringer("state", r.State).Uint64("sequence", r.Sequence).Msg("server departs")
+		// The disk may be slow, and the acknowledgement must not wait for it for long.
 		k.tell(ctx, r)
+		k.broadcaster.Save()
 	}
 }
 
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -35,6 +35,9 @@
 	memoryShare = 0.6
 	// silentHeartbeats is after how many intervals without a heartbeat a server is silent.
 	silentHeartbeats = 3.5
+	// electionTicks is the shortest time without a leader before an election, in ticks of the
+	// replicator: docks that restart wait for a leader before they serve.
+	electionTicks = 14
 	// headerTimeout bounds how long a client of the control address may take for a header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an idle connection to the control address stays open.
@@ -102,7 +105,7 @@
 		return nil, k.abandon(err)
 	}
 	silence := time.Duration(silentHeartbeats * float64(settings.HeartbeatInterval))
-	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.standing, p.Clock)
+	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.standing, broadcaster.NewShelf(settings.DataFolder), p.Clock, p.Log)
 	k.governor = governor.New(keeperrunner.Agreement{Replicator: k.replicator}, k.state, wire.Number, p.Clock, governor.WithInvariants(invariants))
 	var err error
 	if k.links, err = linker.Listen(settings.LinkAddress, p.Self(), k.mux(), p.Clock); err != nil {
@@ -141,8 +144,9 @@
 func (k *Keeper) group() replicator.Settings {
 	address := k.settings.LinkAddress
 	group := replicator.Settings{
-		Self:   replicator.Member{Name: identifier.HostName(address.Addr().String()), Address: address},
-		Voters: k.settings.Voters(),
+		Self:          replicator.Member{Name: identifier.HostName(address.Addr().String()), Address: address},
+		Voters:        k.settings.Voters(),
+		ElectionTicks: electionTicks,
 	}
 	for _, a := range k.settings.LinkSeeds() {
 		group.Initial = append(group.Initial, replicator.Member{Name: identifier.HostName(a.Addr().String()), Address: a})
