Congested work is turned away before it is sent; no hedge to a server where requests wait

Cause of the collapse, from the log lines: queues at the servers filled, more than two shards of a query were turned away at once, the query failed after 3 ms and its 17 other parts were still run for nobody. Hedges added to the load.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -26,6 +26,12 @@
 	// startTime is how long a host that has just started needs to learn the configuration and
 	// the servers. Callers that come earlier are told when it ends.
 	startTime = 900 * time.Millisecond
+	// congestedRetry is when callers are told to come back that were turned away because the
+	// servers have too much work.
+	congestedRetry = 700 * time.Millisecond
+	// returnShare of returnParts of a route's timeout is what a request has left at most that
+	// was turned away before.
+	returnShare, returnParts = 9, 10
 	// leastRetry is the shortest time that callers are told to wait.
 	leastRetry = 200 * time.Millisecond
 	// hedgeShare is the quantile of a route's latency after which a second server is asked.
@@ -67,6 +73,7 @@
 	mutex     sync.Mutex
 	latencies map[matcher.RouteName]*selector.Latencies
 	wheels    map[matcher.RouteName]*wheel
+	throttles map[matcher.RouteName]*selector.Throttle
 	docks     int
 }
 
@@ -80,6 +87,7 @@
 		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
 		wheels:    map[matcher.RouteName]*wheel{},
+		throttles: map[matcher.RouteName]*selector.Throttle{},
 		docks:     1,
 	}
 }
@@ -124,7 +132,7 @@
 	}
 	q := f.newQuery(ctx, table, route, r)
 	defer q.finish()
-	o := q.answer()
+	o := q.admitAndAnswer()
 	f.reporter.report(q, f.clock.Now(), o)
 	return o
 }
@@ -162,6 +170,22 @@
 	return w
 }
 
+// admits tells whether the servers have room for a request in time.
+func (f *Forwarder) admits(q *query) bool {
+	now := f.clock.Now()
+	services := matcher.Services(q.route.Destination)
+	isCongested := f.selector.IsCongested(now, services, q.route.Priority <= q.table.TopPriority())
+	isReturn := q.request.Timeout > 0 && q.request.Timeout < returnShare*q.route.Timeout/returnParts
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	t := f.throttles[q.route.Name]
+	if t == nil {
+		t = selector.NewThrottle()
+		f.throttles[q.route.Name] = t
+	}
+	return t.Admit(now, isCongested, isReturn)
+}
+
 // connections is how many connections this host may hold to one server of a service.
 func (f *Forwarder) connections(t *matcher.Table, service identifier.ServiceName) int {
 	f.mutex.Lock()
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -132,7 +132,6 @@
 	if j.launch(CauseHedge, true) {
 		return true
 	}
-	j.trace.deny(ReasonNoServer)
 	f.selector.ReturnRepeat(j.service)
 	return false
 }
@@ -153,6 +152,11 @@
 	now := f.clock.Now()
 	target, ok := f.selector.Choose(now, j.service, j.asked)
 	if !ok {
+		j.trace.deny(ReasonNoServer)
+		return false
+	}
+	if cause == CauseHedge && target.IsBusy {
+		j.trace.deny(ReasonCongested)
 		return false
 	}
 	j.asked = append(j.asked, target.ID)
@@ -291,7 +295,6 @@
 	if j.launch(CauseRetry, !isFree) {
 		return true
 	}
-	j.trace.deny(ReasonNoServer)
 	if !isFree {
 		f.selector.ReturnRepeat(j.service)
 	}
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -23,6 +23,8 @@
 	ReasonNotRun
 	// ReasonBudget means that a repeat would exceed the budget.
 	ReasonBudget
+	// ReasonCongested means that the servers have more work than they can do in time.
+	ReasonCongested
 	// ReasonLost means that a server got the request and its answer is lost.
 	ReasonLost
 	// ReasonCoverage means that too few shards answered.
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -71,6 +71,20 @@
 // giveUpAt is when the caller must be told that there will be no answer.
 func (q *query) giveUpAt() time.Time { return q.deadline.Add(-timeoutMargin) }
 
+// admitAndAnswer turns the request away if its services have too much work, and asks them
+// otherwise.
+func (q *query) admitAndAnswer() Outcome {
+	if !q.forwarder.admits(q) {
+		return Refused{After: congestedRetry, Reason: ReasonCongested}
+	}
+	o := q.answer()
+	if _, ok := o.(Failed); ok {
+		// Nobody needs the answers that are still to come.
+		q.cancel()
+	}
+	return o
+}
+
 // answer asks the route's services.
 func (q *query) answer() Outcome {
 	switch d := q.route.Destination.(type) {
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetlostcoveragetimeoutcaller_left"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutcaller_left"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 46, 54, 61, 72}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetlostcoveragetimeoutcaller_left"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutcaller_left"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -29,13 +29,14 @@
 	_ = x[ReasonNoServer-2]
 	_ = x[ReasonNotRun-3]
 	_ = x[ReasonBudget-4]
-	_ = x[ReasonLost-5]
-	_ = x[ReasonCoverage-6]
-	_ = x[ReasonTimeout-7]
-	_ = x[ReasonCallerLeft-8]
+	_ = x[ReasonCongested-5]
+	_ = x[ReasonLost-6]
+	_ = x[ReasonCoverage-7]
+	_ = x[ReasonTimeout-8]
+	_ = x[ReasonCallerLeft-9]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonCallerLeft}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonCallerLeft}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
@@ -43,10 +44,11 @@
 	_ReasonName[20:29]: ReasonNoServer,
 	_ReasonName[29:36]: ReasonNotRun,
 	_ReasonName[36:42]: ReasonBudget,
-	_ReasonName[42:46]: ReasonLost,
-	_ReasonName[46:54]: ReasonCoverage,
-	_ReasonName[54:61]: ReasonTimeout,
-	_ReasonName[61:72]: ReasonCallerLeft,
+	_ReasonName[42:51]: ReasonCongested,
+	_ReasonName[51:55]: ReasonLost,
+	_ReasonName[55:63]: ReasonCoverage,
+	_ReasonName[63:70]: ReasonTimeout,
+	_ReasonName[70:81]: ReasonCallerLeft,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -55,10 +57,11 @@
 	_ReasonLowerName[20:29]: ReasonNoServer,
 	_ReasonLowerName[29:36]: ReasonNotRun,
 	_ReasonLowerName[36:42]: ReasonBudget,
-	_ReasonLowerName[42:46]: ReasonLost,
-	_ReasonLowerName[46:54]: ReasonCoverage,
-	_ReasonLowerName[54:61]: ReasonTimeout,
-	_ReasonLowerName[61:72]: ReasonCallerLeft,
+	_ReasonLowerName[42:51]: ReasonCongested,
+	_ReasonLowerName[51:55]: ReasonLost,
+	_ReasonLowerName[55:63]: ReasonCoverage,
+	_ReasonLowerName[63:70]: ReasonTimeout,
+	_ReasonLowerName[70:81]: ReasonCallerLeft,
 }
 
 var _ReasonNames = []string{
@@ -67,10 +70,11 @@
 	_ReasonName[20:29],
 	_ReasonName[29:36],
 	_ReasonName[36:42],
-	_ReasonName[42:46],
-	_ReasonName[46:54],
-	_ReasonName[54:61],
-	_ReasonName[61:72],
+	_ReasonName[42:51],
+	_ReasonName[51:55],
+	_ReasonName[55:63],
+	_ReasonName[63:70],
+	_ReasonName[70:81],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -114,6 +114,8 @@
 	// routes holds, for each host, its routes by prefix.
 	routes   map[string]map[string]*Route
 	services map[identifier.ServiceName]Service
+	// topPriority is the rank of the most urgent routes.
+	topPriority int
 }
 
 // Compile checks a configuration and builds its table. Its error lists the first problem.
@@ -130,6 +132,9 @@
 		if err := t.add(&c.Routes[i]); err != nil {
 			return nil, err
 		}
+		if i == 0 || c.Routes[i].Priority < t.topPriority {
+			t.topPriority = c.Routes[i].Priority
+		}
 	}
 	return t, nil
 }
@@ -137,6 +142,9 @@
 // Number returns the number of the table's configuration.
 func (t *Table) Number() uint64 { return t.configuration.Number }
 
+// TopPriority returns the rank of the most urgent routes.
+func (t *Table) TopPriority() int { return t.topPriority }
+
 // Limits returns the bounds on callers.
 func (t *Table) Limits() Limits { return t.configuration.Limits }
 
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -90,6 +90,8 @@
 	Score float64
 	// Seen is how long ago the server was last observed.
 	Seen time.Duration
+	// IsBusy says that requests wait there, so that a hedge would only make others wait.
+	IsBusy bool
 }
 
 // Has tells whether a service has a server that may answer.
@@ -124,7 +126,7 @@
 	if best == nil {
 		return Target{}, false
 	}
-	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore, Seen: best.age(now)}, true
+	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore, Seen: best.age(now), IsBusy: best.queue(now) >= busyQueue}, true
 }
 
 // contains tells whether an ID is in a short list.
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -42,7 +42,9 @@
 	failures float64
 	observed time.Time
 	// queued is the server's word of its requests less those of this host, per slot.
-	queued     float64
+	queued float64
+	// waiting is the number of requests that wait there for each slot.
+	waiting    float64
 	reportedAt time.Time
 	// blockedUntil ends the time without requests after blocks failures to reach it.
 	blockedUntil time.Time
@@ -154,6 +156,7 @@
 	if load != nil && load.Slots > 0 {
 		others := load.Running + load.Waiting - len(v.flights)
 		v.queued = max(0, float64(others)) / float64(load.Slots)
+		v.waiting = float64(load.Waiting) / float64(load.Slots)
 		v.reportedAt = now
 	}
 	return elapsed
