--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -25,12 +25,16 @@
 	EventServerSilent = "server silent"
 	// EventServerDeparts tells that a backend server said that it leaves, or has left.
 	EventServerDeparts = "server departs"
+	// EventDepartureUntold tells that a keeper did not pass a departure on to another one.
+	EventDepartureUntold = "departure not passed on"
 	// EventConfiguration tells that a dock has a configuration in force.
 	EventConfiguration = "configuration in force"
 	// EventConfigurationApplied tells that a keeper applied a committed configuration.
 	EventConfigurationApplied = "configuration applied"
 	// EventSubmitted tells what became of a configuration that an operator sent.
 	EventSubmitted = "configuration submitted"
+	// EventConfigurationFailed tells that a dock could not get or read a configuration.
+	EventConfigurationFailed = "configuration not taken"
 	// EventKeeperFound and EventKeeperLost tell of a dock's watch of a keeper.
 	EventKeeperFound = "keeper found"
 	EventKeeperLost  = "keeper lost"
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -5,11 +5,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
-	"sync"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/replicator"
 )
 
 const (
@@ -129,8 +130,9 @@
 		if r.State == encoder.PresenceReady {
 			continue
 		}
-		k.process.Log.Info().Str("server", string(r.ID)).Str("service", string(r.Service)).
-			Stringer("state", r.State).Uint64("sequence", r.Sequence).Msg("server departs")
+		k.process.Log.Info().Str(recorder.FieldServer, string(r.ID)).Str(recorder.FieldService, string(r.Service)).
+			Stringer(recorder.FieldState, r.State).Uint64(recorder.FieldSequence, r.Sequence).
+			Int64(recorder.FieldBorn, r.Born).Msg(recorder.EventServerDeparts)
 		// The disk may be slow, and the acknowledgement must not wait for it for long.
 		k.tell(ctx, r)
 		k.broadcaster.Save()
@@ -141,19 +143,11 @@
 func (k *Keeper) tell(ctx context.Context, r encoder.Registration) {
 	s := k.replicator.Status()
 	told := make(chan struct{}, len(s.Voters))
-	var calls sync.WaitGroup
 	for _, m := range s.Voters {
-		if m.Name == s.Self.Name {
-			continue
+		if m.Name != s.Self.Name {
+			k.tasks.Add(1)
+			go (&herald{keeper: k, to: m, registration: r, told: told}).run(ctx)
 		}
-		calls.Go(func() {
-			_, err := linker.Call[encoder.Registration, encoder.DepartReply](ctx, k.pool.Link(m.Address), encoder.KindDepart, r)
-			if err != nil {
-				k.process.Log.Warn().Err(err).Str("server", string(r.ID)).Str("keeper", string(m.Name)).Msg("departure not passed on")
-				return
-			}
-			told <- struct{}{}
-		})
 	}
 	for range len(s.Voters) / 2 {
 		select {
@@ -163,3 +157,24 @@
 		}
 	}
 }
+
+// herald tells one keeper of a departure.
+type herald struct {
+	keeper       *Keeper
+	to           replicator.Member
+	registration encoder.Registration
+	told         chan<- struct{}
+}
+
+// run makes the call.
+func (h *herald) run(ctx context.Context) {
+	k := h.keeper
+	defer k.tasks.Done()
+	_, err := linker.Call[encoder.Registration, encoder.DepartReply](ctx, k.pool.Link(h.to.Address), encoder.KindDepart, h.registration)
+	if err != nil {
+		k.process.Log.Warn().Err(err).Str(recorder.FieldServer, string(h.registration.ID)).
+			Str(recorder.FieldMember, string(h.to.Name)).Msg(recorder.EventDepartureUntold)
+		return
+	}
+	h.told <- struct{}{}
+}
--- a/internal/routekeeperrunner/standing.go
+++ b/internal/routekeeperrunner/standing.go
@@ -6,6 +6,7 @@
 
 	"banyandock.example/banyandock/internal/broadcaster"
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/registrar"
 	"banyandock.example/banyandock/internal/replicator"
 )
@@ -72,7 +73,8 @@
 	if number == before {
 		return
 	}
-	w.keeper.process.Log.Info().Uint64("number", number).Uint64("before", before).Str("origin", origin).Msg("configuration applied")
+	w.keeper.process.Log.Info().Uint64(recorder.FieldConfiguration, number).
+		Uint64(recorder.FieldBefore, before).Str(recorder.FieldOrigin, origin).Msg(recorder.EventConfigurationApplied)
 	// While storage is being loaded there is nobody to tell.
 	if b := w.keeper.broadcaster; b != nil {
 		b.Notify()
@@ -81,12 +83,13 @@
 
 // record logs an event of the agreement.
 func (k *Keeper) record(e replicator.Event) {
-	line := k.process.Log.Info().Str("event", e.Kind.String()).Uint64("term", e.Term).Uint64("index", e.Index)
+	line := k.process.Log.Info().Stringer(recorder.FieldEvent, e.Kind).
+		Uint64(recorder.FieldTerm, e.Term).Uint64(recorder.FieldIndex, e.Index)
 	if e.Member.Name != "" {
-		line = line.Str("member", string(e.Member.Name))
+		line = line.Str(recorder.FieldMember, string(e.Member.Name))
 	}
 	if e.Detail != "" {
-		line = line.Str("detail", e.Detail)
+		line = line.Str(recorder.FieldDetail, e.Detail)
 	}
-	line.Msg("agreement")
+	line.Msg(recorder.EventAgreement)
 }
--- /dev/null
+++ b/internal/selector/selector_test.go
@@ -0,0 +1,241 @@
+package selector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/seeder"
+	"banyandock.example/banyandock/internal/selector"
+)
+
+func init() { seeder.Fix() }
+
+const usual = 10 * time.Millisecond
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// servers describes servers of two slots each in the failure domain "one".
+func servers(ids ...string) []locator.Server {
+	list := []locator.Server{}
+	for _, id := range ids {
+		list = append(list, locator.Server{Registration: encoder.Registration{ID: encoder.ServerID(id), Service: "plates", Domain: "one", Slots: 2, Born: 1}})
+	}
+	return list
+}
+
+// newSelector knows the servers of the service "plates".
+func newSelector(list []locator.Server) *selector.Selector {
+	s := selector.New("one", selector.BudgetLimits{Ratio: 0.2, Slack: 100}, 1)
+	s.Update(map[identifier.ServiceName][]locator.Server{"plates": list})
+	return s
+}
+
+// choose returns the server that is chosen most often of 100.
+func choose(t *testing.T, s *selector.Selector, now time.Time, excluded ...encoder.ServerID) string {
+	t.Helper()
+	counts := map[encoder.ServerID]int{}
+	for range 100 {
+		target, ok := s.Choose(now, "plates", excluded)
+		if !ok {
+			return ""
+		}
+		counts[target.ID]++
+	}
+	best := encoder.ServerID("")
+	for id, n := range counts {
+		if n > counts[best] {
+			best = id
+		}
+	}
+	return string(best)
+}
+
+// answer has a server answer a request after a time.
+func answer(s *selector.Selector, id encoder.ServerID, from time.Time, after time.Duration, load *selector.Load) {
+	s.Answered(from.Add(after), s.Begin(from, id, usual), false, load)
+}
+
+func TestSlowServerIsLeftAloneAndTriedAgain(t *testing.T) {
+	s := newSelector(servers("a", "b"))
+	for i := range 4 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		answer(s, "a", at, 8*usual, nil)
+		answer(s, "b", at, usual, nil)
+	}
+	now := start.Add(500 * time.Millisecond)
+	assert.Equal(t, choose(t, s, now), "b")
+	assert.Equal(t, choose(t, s, now, "b"), "a")
+	assert.Equal(t, choose(t, s, now, "a", "b"), "")
+	target, _ := s.Choose(now.Add(20*time.Second), "plates", []encoder.ServerID{"b"})
+	assert.Assert(t, target.Score < 1.2, "score %v after a long time", target.Score)
+}
+
+// TestStalledServerIsLeftAlone has a server that pauses: its request is overdue.
+func TestStalledServerIsLeftAlone(t *testing.T) {
+	s := newSelector(servers("a", "b"))
+	stalled := s.Begin(start, "a", usual)
+	s.Begin(start.Add(4*usual), "b", usual)
+	assert.Equal(t, choose(t, s, start.Add(6*usual)), "b")
+	s.Answered(start.Add(10*usual), stalled, false, nil)
+}
+
+func TestUnreachableServerIsTheLastChoice(t *testing.T) {
+	s := newSelector(servers("a", "b"))
+	s.Lost(start, s.Begin(start, "a", usual), true)
+	s.Lost(start, s.Begin(start, "a", usual), true)
+	now := start.Add(50 * time.Millisecond)
+	assert.Equal(t, choose(t, s, now), "b")
+	assert.Equal(t, choose(t, s, now, "b"), "a")
+	assert.Assert(t, s.Has("plates", now))
+	s.Lost(now, s.Begin(now, "b", usual), true)
+	s.Lost(now, s.Begin(now, "b", usual), true)
+	assert.Assert(t, !s.Has("plates", now), "both could not be reached twice")
+	assert.Assert(t, s.Has("plates", now.Add(time.Second)))
+	answer(s, "a", now, usual, nil)
+	assert.Equal(t, choose(t, s, now.Add(usual)), "a")
+}
+
+func TestFailingServerIsLeftAlone(t *testing.T) {
+	s := newSelector(servers("a", "b"))
+	for i := range 5 {
+		at := start.Add(time.Duration(i) * usual)
+		s.Answered(at, s.Begin(at, "a", usual), true, nil)
+		answer(s, "b", at, usual, nil)
+	}
+	assert.Equal(t, choose(t, s, start.Add(6*usual)), "b")
+}
+
+func TestReportedQueueCountsWhileItIsFresh(t *testing.T) {
+	s := newSelector(servers("a", "b"))
+	answer(s, "a", start, usual, &selector.Load{Running: 2, Waiting: 6, Slots: 2})
+	answer(s, "b", start, usual, &selector.Load{Running: 1, Waiting: 0, Slots: 2})
+	assert.Equal(t, choose(t, s, start.Add(usual)), "b")
+	target, _ := s.Choose(start.Add(usual), "plates", []encoder.ServerID{"b"})
+	assert.Assert(t, target.IsBusy)
+	target, _ = s.Choose(start.Add(time.Second), "plates", []encoder.ServerID{"b"})
+	assert.Assert(t, !target.IsBusy && target.Score < 1.2, "%+v", target)
+}
+
+func TestCongestionTakesMostServices(t *testing.T) {
+	s := selector.New("one", selector.BudgetLimits{}, 1)
+	names := []identifier.ServiceName{}
+	all := map[identifier.ServiceName][]locator.Server{}
+	for i := range 10 {
+		name := identifier.ServiceName(fmt.Sprintf("shard-%d", i))
+		names = append(names, name)
+		all[name] = servers(fmt.Sprintf("a%d", i), fmt.Sprintf("b%d", i))
+	}
+	s.Update(all)
+	full := &selector.Load{Running: 2, Waiting: 8, Slots: 2}
+	for i := range 10 {
+		answer(s, encoder.ServerID(fmt.Sprintf("a%d", i)), start, usual, full)
+	}
+	now := start.Add(2 * usual)
+	assert.Assert(t, !s.IsCongested(now, names, false), "the other servers are free")
+	for i := range 6 {
+		answer(s, encoder.ServerID(fmt.Sprintf("b%d", i)), start, usual, full)
+	}
+	assert.Assert(t, s.IsCongested(now, names, true))
+	assert.Assert(t, !s.IsCongested(now.Add(time.Second), names, true), "the reports are old")
+}
+
+func TestRoutineWorkGivesWayFirst(t *testing.T) {
+	s := newSelector(servers("a"))
+	answer(s, "a", start, usual, &selector.Load{Running: 5, Waiting: 4, Slots: 5})
+	names := []identifier.ServiceName{"plates"}
+	assert.Assert(t, s.IsCongested(start.Add(usual), names, false))
+	assert.Assert(t, !s.IsCongested(start.Add(usual), names, true))
+}
+
+func TestHedgeTimes(t *testing.T) {
+	expect := func(median, high, remaining, wantEarly, wantLatest time.Duration) {
+		t.Helper()
+		early, latest := selector.HedgeTimes(median*time.Millisecond, high*time.Millisecond, remaining*time.Millisecond)
+		assert.Equal(t, early, wantEarly*time.Millisecond)
+		assert.Equal(t, latest, wantLatest*time.Millisecond)
+	}
+	expect(20, 40, 138, 40, 98)
+	expect(20, 300, 138, 60, 98)
+	expect(20, 40, 50, 40, 40)
+	expect(1, 2, 30, 4, 28)
+	expect(0, 0, 30, 10, 10)
+	expect(20, 40, 0, 40, 40)
+}
+
+// TestRepeatsStayInTheBudget lets hosts repeat whatever they may, with requests in bursts, and
+// checks every window of ten seconds.
+func TestRepeatsStayInTheBudget(t *testing.T) {
+	const (
+		window = 10
+		slack  = 100
+		ratio  = 0.2
+	)
+	rapid.Check(t, func(r *rapid.T) {
+		docks := rapid.IntRange(1, 30).Draw(r, "docks")
+		hosts := []*selector.Selector{}
+		for range docks {
+			s := selector.New("one", selector.BudgetLimits{Ratio: ratio, Slack: slack}, 1)
+			s.SetDocks(docks)
+			hosts = append(hosts, s)
+		}
+		requests, repeats := [60]int{}, [60]int{}
+		for second := range requests {
+			for _, s := range hosts {
+				n := rapid.IntRange(0, 20).Draw(r, "requests")
+				requests[second] += n
+				for range n {
+					s.CountRequest("plates")
+					for _, need := range []selector.Need{selector.NeedEarly, selector.NeedLate, selector.NeedRetry, selector.NeedRetry} {
+						if s.MayRepeat("plates", need) {
+							repeats[second]++
+						}
+					}
+				}
+			}
+			from := max(0, second-window+1)
+			asked, repeated := 0, 0
+			for i := from; i <= second; i++ {
+				asked += requests[i]
+				repeated += repeats[i]
+			}
+			if float64(repeated) > ratio*float64(asked)+slack {
+				r.Fatalf("%d repeats of %d requests up to second %d", repeated, asked, second)
+			}
+		}
+	})
+}
+
+func TestBudgetKeepsRepeatsForFailures(t *testing.T) {
+	s := selector.New("one", selector.BudgetLimits{Ratio: 0, Slack: 20}, 1)
+	count := func(need selector.Need) int {
+		n := 0
+		for s.MayRepeat("plates", need) {
+			n++
+		}
+		return n
+	}
+	early, late, retries := count(selector.NeedEarly), count(selector.NeedLate), count(selector.NeedRetry)
+	assert.Assert(t, early > 0 && late > 0 && retries > 0, "%d %d %d", early, late, retries)
+	s.ReturnRepeat("plates")
+	assert.Equal(t, count(selector.NeedRetry), 1)
+}
+
+func TestLatenciesApproachTheQuantiles(t *testing.T) {
+	l := selector.NewLatencies(0.9)
+	for i := range 5000 {
+		l.Observe(time.Duration(1+(i*37)%100) * time.Millisecond)
+	}
+	near := func(got time.Duration, least, most int) {
+		t.Helper()
+		assert.Assert(t, got >= time.Duration(least)*time.Millisecond && got <= time.Duration(most)*time.Millisecond, "%v", got)
+	}
+	near(l.Median(), 40, 60)
+	near(l.High(), 80, 100)
+}
--- a/internal/selector/throttle.go
+++ b/internal/selector/throttle.go
@@ -10,17 +10,19 @@
 	// adjustInterval is the least time between two changes of the admitted share: about the
 	// time after which the servers' reports show the effect of the last one.
 	adjustInterval = 100 * time.Millisecond
-	// decrease and increase change the admitted share while servers are congested and while
-	// they are not.
-	decrease = 0.85
-	increase = 0.06
+	// decrease is what is left of the admitted share at each step while servers are congested.
+	decrease = 0.7
+	// increasePerSecond is by how much the share grows while they are not.
+	increasePerSecond = 0.8
+	// longestStep bounds the time that counts for one increase: much may have changed since.
+	longestStep = 500 * time.Millisecond
 	// leastShare is admitted however congested the servers are, so that their state is seen
 	// and no kind of request starves.
 	leastShare = 0.15
 	// urgentQueue and routineQueue are the requests that wait for each slot of a server from
 	// which on the server counts as congested. Routine work gives way first.
-	urgentQueue  = 2.0
-	routineQueue = 1.25
+	urgentQueue  = 1.0
+	routineQueue = 0.75
 	// busyQueue is the queue for each slot from which on a server gets no hedges.
 	busyQueue = 1.25
 	// reportTime is how long a server's report counts as its present state.
@@ -48,9 +50,9 @@
 // Admit decides on one request. A request that was turned away before has waited longest: its
 // chance to be turned away again is squared.
 func (t *Throttle) Admit(now time.Time, isCongested, isReturn bool) bool {
-	if now.Sub(t.adjusted) >= adjustInterval {
+	if since := now.Sub(t.adjusted); since >= adjustInterval {
 		t.adjusted = now
-		t.adjust(isCongested)
+		t.adjust(isCongested, min(since, longestStep))
 	}
 	share := t.share
 	if isReturn {
@@ -67,13 +69,13 @@
 // Share returns the admitted share.
 func (t *Throttle) Share() float64 { return t.share }
 
-// adjust moves the share.
-func (t *Throttle) adjust(isCongested bool) {
+// adjust moves the share by one step, or by the time since the last one.
+func (t *Throttle) adjust(isCongested bool, since time.Duration) {
 	if isCongested {
 		t.share = max(leastShare, t.share*decrease)
 		return
 	}
-	t.share = min(1, t.share+increase)
+	t.share = min(1, t.share+increasePerSecond*since.Seconds())
 }
 
 // IsCongested tells whether at most of the services even the least loaded server has more
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -16,6 +16,7 @@
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -222,7 +223,7 @@
 		return
 	}
 	if !k.heard.IsZero() {
-		w.log.Warn().Err(err).Stringer("keeper", k.address).Msg("keeper lost")
+		w.log.Warn().Err(err).Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventKeeperLost)
 	}
 	k.heard = time.Time{}
 	w.catalog.Disconnect(w.clock.Now(), k.address)
@@ -244,7 +245,7 @@
 	defer w.mutex.Unlock()
 	now := w.clock.Now()
 	if k.heard.IsZero() {
-		w.log.Info().Stringer("keeper", k.address).Msg("keeper found")
+		w.log.Info().Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventKeeperFound)
 	}
 	k.heard = now
 	k.isVoter = reply.IsVoter
@@ -299,12 +300,12 @@
 	defer cancel()
 	text, err := linker.Call[encoder.FetchRequest, encoder.ManifestText](ctx, w.pool.Link(k.address), encoder.KindFetch, encoder.FetchRequest{})
 	if err != nil {
-		w.log.Warn().Err(err).Stringer("keeper", k.address).Uint64("number", number).Msg("configuration not fetched")
+		w.log.Warn().Err(err).Stringer(recorder.FieldKeeper, k.address).Uint64(recorder.FieldConfiguration, number).Msg(recorder.EventConfigurationFailed)
 		return
 	}
 	table, err := w.compile(text.Text)
 	if err != nil {
-		w.log.Error().Err(err).Uint64("number", text.Number).Msg("committed configuration is invalid")
+		w.log.Error().Err(err).Uint64(recorder.FieldConfiguration, text.Number).Msg(recorder.EventConfigurationFailed)
 		return
 	}
 	w.mutex.Lock()
@@ -314,5 +315,6 @@
 	}
 	w.configuration = text.Number
 	w.sink.Configure(table)
-	w.log.Info().Uint64("number", text.Number).Uint64("before", known).Stringer("keeper", k.address).Msg("configuration in force")
+	w.log.Info().Uint64(recorder.FieldConfiguration, text.Number).Uint64(recorder.FieldBefore, known).
+		Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventConfiguration)
 }
