--- /dev/null
+++ b/internal/forwarder/scatter_test.go
@@ -0,0 +1,163 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/matcher"
+)
+
+// record is a record of 16 bytes that sorts by its number.
+func record(n int) string { return fmt.Sprintf("%016d", n) }
+
+// scatter is a route to numbered shards.
+func scatter(shards, rows int, coverage float64, target time.Duration) matcher.Route {
+	return matcher.Route{
+		Idempotent: true, LatencyTarget: target,
+		Destination: matcher.Scatter{Services: services(shards), RowLimit: rows, MinimumCoverage: coverage},
+	}
+}
+
+// addShards starts one server for each shard. Shard i has the record i and a remainder.
+func (d *deployment) addShards(n int, special map[int]handler) {
+	for i, s := range services(n) {
+		h := answers(record(i) + "rest")
+		if special[i] != nil {
+			h = special[i]
+		}
+		d.add(string(s), fmt.Sprintf("server-%d", i), h)
+	}
+}
+
+func TestGreatestRecordsAreGathered(t *testing.T) {
+	d := newDeployment(t, ample)
+	d.addShards(6, nil)
+	d.route(scatter(6, 3, 0.5, time.Second))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, string(g.Body), record(5)+record(4)+record(3))
+	assert.Equal(t, g.Missing, 0)
+	slices.Sort(g.Stamps)
+	assert.Equal(t, len(slices.Compact(g.Stamps)), 6)
+}
+
+func TestEqualRecordsAllCount(t *testing.T) {
+	d := newDeployment(t, ample)
+	same := answers(record(7) + record(1) + record(7))
+	d.addShards(2, map[int]handler{0: same, 1: same})
+	d.route(scatter(2, 3, 1, time.Second))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, string(g.Body), record(7)+record(7)+record(7))
+}
+
+func TestSlowShardIsLeftOutAtTheTarget(t *testing.T) {
+	d := newDeployment(t, tight)
+	d.addShards(5, map[int]handler{2: after(time.Minute, answers(record(2)))})
+	d.route(scatter(5, 5, 0.8, 200*time.Millisecond))
+	began := time.Now()
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 1)
+	assert.Equal(t, len(g.Stamps), 4)
+	assert.Equal(t, string(g.Body), record(4)+record(3)+record(1)+record(0))
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
+func TestAnswerBelowTheCoverageWaits(t *testing.T) {
+	d := newDeployment(t, tight)
+	late := after(400*time.Millisecond, answers(record(9)))
+	d.addShards(5, map[int]handler{2: late, 3: late})
+	d.route(scatter(5, 5, 0.8, 100*time.Millisecond))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Assert(t, len(g.Stamps) >= 4)
+}
+
+func TestFailedShardIsNotAPart(t *testing.T) {
+	d := newDeployment(t, tight)
+	d.addShards(5, map[int]handler{1: fails})
+	d.route(scatter(5, 5, 0.8, time.Second))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 1)
+	assert.Assert(t, !strings.Contains(strings.Join(g.Stamps, ","), "failure"))
+}
+
+func TestTooLittleCoverageFailsAtOnce(t *testing.T) {
+	d := newDeployment(t, tight)
+	slow := after(time.Minute, answers(record(0)))
+	d.addShards(5, map[int]handler{0: slow, 1: fails, 2: breaks})
+	d.route(scatter(5, 5, 0.8, 500*time.Millisecond))
+	began := time.Now()
+	f := expect[forwarder.Failed](t, d.get())
+	assert.Equal(t, f.Reason, forwarder.ReasonCoverage)
+	assert.Assert(t, time.Since(began) < 400*time.Millisecond)
+	waitFor(t, func() bool { _, left := d.standIns["server-0"].count(); return left == 1 })
+}
+
+func TestUnknownShardsAreRefusedBeforeAnythingIsSent(t *testing.T) {
+	d := newDeployment(t, tight)
+	d.addShards(3, nil)
+	d.route(scatter(5, 5, 0.8, time.Second))
+	expect[forwarder.Refused](t, d.get())
+	for _, s := range d.standIns {
+		n, _ := s.count()
+		assert.Equal(t, n, 0)
+	}
+}
+
+func TestSlowServerIsHedged(t *testing.T) {
+	d := newDeployment(t, ample)
+	d.addShards(3, map[int]handler{1: after(time.Minute, answers(record(1)))})
+	d.add(string(services(3)[1]), "second", answers(record(1)))
+	d.route(scatter(3, 3, 1, 300*time.Millisecond))
+	for range 3 {
+		g := expect[forwarder.Gathered](t, d.get())
+		assert.Equal(t, g.Missing, 0)
+	}
+}
+
+// TestLosersKeepTheirConnections lets the slower of two servers finish when its answer is not
+// needed any more, unless the caller has left.
+func TestLosersKeepTheirConnections(t *testing.T) {
+	d := newDeployment(t, ample)
+	loser := d.add("shard-a", "loser", after(150*time.Millisecond, answers(record(1))))
+	d.add("shard-b", "other", answers(record(2)))
+	d.route(scatter(2, 3, 0.5, 50*time.Millisecond))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 1)
+	time.Sleep(300 * time.Millisecond)
+	requests, left := loser.count()
+	assert.Equal(t, requests, 1)
+	assert.Equal(t, left, 0)
+}
+
+func TestCallerWhoLeftEndsAllParts(t *testing.T) {
+	d := newDeployment(t, tight)
+	slow := after(time.Minute, answers(record(0)))
+	d.addShards(3, map[int]handler{0: slow, 1: slow, 2: slow})
+	d.route(scatter(3, 3, 1, time.Second))
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	f := expect[forwarder.Failed](t, d.ask(ctx, "GET", "", time.Minute))
+	assert.Equal(t, f.Reason, forwarder.ReasonCallerLeft)
+	for _, s := range d.standIns {
+		waitFor(t, func() bool { _, left := s.count(); return left == 1 })
+	}
+}
+
+func TestLogTellsWhichShardsAreMissing(t *testing.T) {
+	d := newDeployment(t, tight)
+	d.addShards(5, map[int]handler{2: after(time.Minute, answers(record(2)))})
+	d.add(string(services(5)[2]), "second", after(time.Minute, answers(record(2))))
+	d.route(scatter(5, 5, 0.8, 200*time.Millisecond))
+	expect[forwarder.Gathered](t, d.get())
+	line := d.logged()
+	for _, part := range []string{`"outcome":"partial"`, `"missing":1`, `"service":"shard-c"`, `"denied":"budget"`, `"outcome":"running"`} {
+		assert.Assert(t, strings.Contains(line, part), "%s lacks %s", line, part)
+	}
+	assert.Assert(t, !strings.Contains(line, "shard-a"), "plain parts are not told")
+}
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -50,15 +50,16 @@
 		return Reply{}, false, eris.Wrapf(ErrLost, "write: %v", err)
 	}
 	for range 1 + maxForeignReplies {
-		reply, keep, err := x.read()
+		reply, staysOpen, err := x.read()
 		if err != nil {
 			return Reply{}, false, eris.Wrapf(ErrLost, "read: %v", err)
 		}
 		if reply.Facts.Request == x.request.ID {
-			return reply, keep, nil
+			// Bytes behind the reply belong to no request.
+			return reply, staysOpen && x.connection.reader.Buffered() == 0, nil
 		}
 		x.sender.foreign.Inc(1)
-		if !keep {
+		if !staysOpen {
 			return Reply{}, false, eris.Wrapf(ErrLost, "reply to request %q", reply.Facts.Request)
 		}
 	}
@@ -89,8 +90,8 @@
 	return b.Bytes()
 }
 
-// read reads one final reply.
-func (x *exchange) read() (reply Reply, keep bool, err error) {
+// read reads one final reply. It tells whether the connection stays open behind it.
+func (x *exchange) read() (reply Reply, staysOpen bool, err error) {
 	for {
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -118,9 +119,8 @@
 		Facts:  x.sender.protocol.Facts(response.StatusCode, response.Header),
 	}
 	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	keep := isFramed && !response.Close && x.connection.reader.Buffered() == 0
 	x.connection.usableUntil = x.sender.clock.Now().Add(idleLimit(response.Header) - idleMargin)
-	return reply, keep, nil
+	return reply, isFramed && !response.Close, nil
 }
 
 // idleLimit reads how long a server keeps an idle connection.
