--- a/internal/selector/overload_test.go
+++ b/internal/selector/overload_test.go
@@ -40,7 +40,6 @@
 	names     []identifier.ServiceName
 	docks     []*selector.Selector
 	throttles []*selector.Throttle
-	queries   []*simulatedQuery
 	// served counts the queries answered in time, by the second of their arrival.
 	served  map[int]int
 	arrived map[int]int
