--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -44,10 +44,15 @@
 	q := g.query
 	f := q.forwarder
 	now := f.clock.Now()
-	target := f.clock.NewTimer(q.target.Sub(now))
+	inTime, late := q.target, q.target.Add(q.route.LatencyTarget)
+	if q.target.IsZero() {
+		// Without a target, only the whole answer or the end of the time counts.
+		inTime, late = q.giveUpAt(), q.giveUpAt()
+	}
+	target := f.clock.NewTimer(inTime.Sub(now))
 	defer target.Stop()
-	late := f.clock.NewTimer(q.target.Add(q.route.LatencyTarget).Sub(now))
-	defer late.Stop()
+	second := f.clock.NewTimer(late.Sub(now))
+	defer second.Stop()
 	giveUp := f.clock.NewTimer(q.giveUpAt().Sub(now))
 	defer giveUp.Stop()
 	isLate := false
@@ -65,7 +70,7 @@
 			if g.isEnough(len(g.parts)) {
 				return g.answer()
 			}
-		case <-late.C:
+		case <-second.C:
 			isLate = true
 			if g.isEnough(len(g.parts)) {
 				return g.answer()
--- a/internal/forwarder/scatter_test.go
+++ b/internal/forwarder/scatter_test.go
@@ -77,6 +77,16 @@
 	assert.Assert(t, len(g.Stamps) >= 4)
 }
 
+// TestRouteWithoutTargetWaitsForTheWhole found that such an answer left at once, with whatever
+// had come.
+func TestRouteWithoutTargetWaitsForTheWhole(t *testing.T) {
+	d := newDeployment(t, tight)
+	d.addShards(5, map[int]handler{2: after(300*time.Millisecond, answers(record(2)))})
+	d.route(scatter(5, 5, 0.2, 0))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 0)
+}
+
 func TestFailedShardIsNotAPart(t *testing.T) {
 	d := newDeployment(t, tight)
 	d.addShards(5, map[int]handler{1: fails})
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -211,10 +211,20 @@
 	})
 	m.Computed("keeper_term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(k.replicator.Status().Term) })
 	m.Computed("keeper_commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(k.replicator.Status().CommitIndex) })
+	m.Computed("keeper_is_voter", measurer.Count, "1 if this keeper counts toward a majority.", func() int64 { return flag(k.replicator.Status().IsVoter) })
+	m.Computed("keeper_is_leader", measurer.Count, "1 if this keeper leads.", func() int64 { return flag(k.replicator.Status().IsLeader) })
 	m.Computed("keeper_voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(k.replicator.Status().Voters)) })
 	m.Computed("keeper_configuration", measurer.Count, "Number of the committed configuration.", func() int64 { return int64(k.state.Manifest().Number) })
 }
 
+// flag turns a condition into a metric.
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // abandon closes what was started and returns the error that stopped the start.
 func (k *Keeper) abandon(err error) error {
 	// The error that stopped the start says more than one of closing.
