--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,260 @@
+package watcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/broadcaster"
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/timekeeper"
+	"banyandock.example/banyandock/internal/watcher"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// keeper is a broadcaster behind a link.
+type keeper struct {
+	t           *testing.T
+	broadcaster *broadcaster.Broadcaster
+	server      *linker.Server
+
+	mutex    sync.Mutex
+	number   uint64
+	fetches  int
+	isLeader bool
+	members  []encoder.KeeperMember
+}
+
+// startKeeper starts a keeper at an address, or at a free one.
+func startKeeper(t *testing.T, address string, incarnation identifier.Incarnation, folder string) *keeper {
+	t.Helper()
+	k := &keeper{t: t, isLeader: true}
+	clock := timekeeper.System{}
+	k.broadcaster = broadcaster.New(incarnation, 4*time.Second, k.standing, broadcaster.NewShelf(folder), clock, zerolog.Nop())
+	mux := linker.NewMux()
+	linker.Handle(mux, encoder.KindWatch, func(ctx context.Context, peer linker.Peer, q encoder.WatchRequest) (encoder.WatchReply, error) {
+		return k.broadcaster.Watch(ctx, peer.Host, q), nil
+	})
+	linker.Handle(mux, encoder.KindFetch, func(context.Context, linker.Peer, encoder.FetchRequest) (encoder.ManifestText, error) {
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		k.fetches++
+		return encoder.ManifestText{Number: k.number, Text: fmt.Append(nil, k.number)}, nil
+	})
+	var err error
+	k.server, err = linker.Listen(netip.MustParseAddrPort(address), linker.Self{Host: "keeper", Incarnation: incarnation}, mux, clock)
+	assert.NilError(t, err)
+	k.setMembers(k)
+	return k
+}
+
+func (k *keeper) standing() broadcaster.Standing {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return broadcaster.Standing{
+		Configuration: k.number, IsVoter: true, IsLeader: k.isLeader, Members: k.members,
+		MembersDigest: uint64(len(k.members)), Voters: len(k.members),
+	}
+}
+
+// setMembers makes keepers the voters of the group as this keeper tells it.
+func (k *keeper) setMembers(members ...*keeper) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.members = nil
+	for _, m := range members {
+		k.members = append(k.members, encoder.KeeperMember{Address: m.server.Address()})
+	}
+}
+
+// configure applies a configuration.
+func (k *keeper) configure(number uint64) {
+	k.mutex.Lock()
+	k.number = number
+	k.mutex.Unlock()
+	k.broadcaster.Notify()
+}
+
+func (k *keeper) close() {
+	k.broadcaster.Close()
+	assert.NilError(k.t, k.server.Close())
+}
+
+// dock records what the watcher tells it.
+type dock struct {
+	t       *testing.T
+	pool    *linker.Pool
+	watcher *watcher.Watcher
+
+	mutex   sync.Mutex
+	numbers []uint64
+	servers map[identifier.ServiceName][]locator.Server
+	docks   int
+}
+
+func (d *dock) Configure(table *matcher.Table) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.numbers = append(d.numbers, table.Number())
+}
+
+func (d *dock) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.servers = services
+}
+
+func (d *dock) SetDocks(n int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.docks = n
+}
+
+// compile reads a configuration that consists of its number.
+func compile(text []byte) (*matcher.Table, error) {
+	c := matcher.Configuration{}
+	if _, err := fmt.Sscan(string(text), &c.Number); err != nil {
+		return nil, err
+	}
+	return matcher.Compile(c)
+}
+
+func startDock(t *testing.T, seeds ...*keeper) *dock {
+	d := &dock{t: t, pool: linker.NewPool(linker.Self{Host: "dock", Incarnation: 7}, timekeeper.System{})}
+	addresses := []netip.AddrPort{}
+	for _, k := range seeds {
+		addresses = append(addresses, k.server.Address())
+	}
+	d.watcher = watcher.New(addresses, d.pool, compile, d, timekeeper.System{}, zerolog.Nop())
+	return d
+}
+
+func (d *dock) close() {
+	d.watcher.Close()
+	assert.NilError(d.t, d.pool.Close())
+}
+
+// wait waits until a condition on what the dock knows holds.
+func (d *dock) wait(what string, condition func() bool) {
+	d.t.Helper()
+	for range 1000 {
+		d.mutex.Lock()
+		holds := condition()
+		d.mutex.Unlock()
+		if holds {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.t.Fatalf("never: %s", what)
+}
+
+// waitFor waits until as many servers of the service are known.
+func (d *dock) waitFor(n int) {
+	d.t.Helper()
+	d.wait(fmt.Sprintf("%d servers", n), func() bool { return len(d.servers["plates"]) == n })
+}
+
+// beat is a heartbeat of a numbered server.
+func beat(n int, state encoder.Presence, sequence uint64) encoder.Registration {
+	return encoder.Registration{
+		ID: encoder.ServerID(fmt.Sprint(n)), Service: "plates", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.9"), uint16(n)),
+		Domain: "one", Slots: 2, State: state, Born: 1, Sequence: sequence,
+	}
+}
+
+const anyPort = "127.0.0.1:0"
+
+func TestDockFollowsServersAndConfigurations(t *testing.T) {
+	k := startKeeper(t, anyPort, 1, t.TempDir())
+	defer k.close()
+	k.configure(3)
+	d := startDock(t, k)
+	defer d.close()
+	d.wait("configuration 3", func() bool { return len(d.numbers) == 1 && d.numbers[0] == 3 })
+	k.broadcaster.Beat(beat(1, encoder.PresenceReady, 1))
+	k.broadcaster.Beat(beat(2, encoder.PresenceReady, 1))
+	d.waitFor(2)
+	k.broadcaster.Beat(beat(1, encoder.PresenceDraining, 2))
+	d.waitFor(1)
+	k.configure(9)
+	d.wait("configuration 9", func() bool { return len(d.numbers) == 2 && d.numbers[1] == 9 })
+	assert.Assert(t, d.watcher.IsFresh())
+	d.wait("one dock", func() bool { return d.docks == 1 })
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	one, two := startKeeper(t, anyPort, 1, t.TempDir()), startKeeper(t, anyPort, 2, t.TempDir())
+	defer one.close()
+	defer two.close()
+	two.isLeader = false
+	one.setMembers(one, two)
+	two.setMembers(one, two)
+	one.configure(8)
+	two.configure(5)
+	d := startDock(t, one, two)
+	defer d.close()
+	d.wait("configuration 8", func() bool { return len(d.numbers) > 0 && d.numbers[len(d.numbers)-1] == 8 })
+	two.configure(6)
+	time.Sleep(100 * time.Millisecond)
+	d.wait("rising numbers", func() bool { return d.numbers[len(d.numbers)-1] == 8 })
+}
+
+func TestKeepersAreFoundThroughOneSeed(t *testing.T) {
+	one, two := startKeeper(t, anyPort, 1, t.TempDir()), startKeeper(t, anyPort, 2, t.TempDir())
+	defer one.close()
+	defer two.close()
+	two.isLeader = false
+	one.setMembers(one, two)
+	two.setMembers(one, two)
+	d := startDock(t, one)
+	defer d.close()
+	two.broadcaster.Beat(beat(1, encoder.PresenceReady, 1))
+	d.waitFor(1)
+}
+
+func TestDockOutOfTouchKnowsIt(t *testing.T) {
+	k := startKeeper(t, anyPort, 1, t.TempDir())
+	k.configure(1)
+	d := startDock(t, k)
+	defer d.close()
+	k.broadcaster.Beat(beat(1, encoder.PresenceReady, 1))
+	d.waitFor(1)
+	assert.Assert(t, d.watcher.IsFresh())
+	k.close()
+	d.wait("out of touch", func() bool { return !d.watcher.IsFresh() })
+	d.waitFor(1)
+}
+
+// TestRestartedKeeperRemembersTheServers starts another process at the keeper's address and
+// on its folder.
+func TestRestartedKeeperRemembersTheServers(t *testing.T) {
+	folder := t.TempDir()
+	k := startKeeper(t, anyPort, 1, folder)
+	address := k.server.Address().String()
+	k.broadcaster.Beat(beat(1, encoder.PresenceReady, 1))
+	k.broadcaster.Beat(beat(2, encoder.PresenceReady, 1))
+	k.broadcaster.Leave("2", 1)
+	k.broadcaster.Save()
+	k.close()
+	k = startKeeper(t, address, 2, folder)
+	defer k.close()
+	d := startDock(t, k)
+	defer d.close()
+	d.waitFor(1)
+	k.broadcaster.Beat(beat(2, encoder.PresenceReady, 2))
+	k.broadcaster.Beat(beat(3, encoder.PresenceReady, 1))
+	d.waitFor(2)
+}
