--- a/internal/governor/storm_test.go
+++ b/internal/governor/storm_test.go
@@ -52,10 +52,9 @@
 }
 
 // TestStormsThatFailed replays seeds of runs that failed once. In the one that was traced, a
-// claim was granted, its
-// answer was lost with the leader, another claim held its dock for gone and put the key in
-// doubt, and the first claim's retry was then answered "in doubt". The model took a claim with
-// its retries for one step and could not allow that.
+// claim was granted, its answer was lost with the leader, another claim held its dock for gone
+// and put the key in doubt, and the first claim's retry was then answered "in doubt". The model
+// took a claim with its retries for one step and could not allow that.
 func TestStormsThatFailed(t *testing.T) {
 	for _, run := range []struct {
 		seed    uint64
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -41,6 +41,8 @@
 	// EventFresh and EventNotFresh tell whether a majority of the keepers answers a dock.
 	EventFresh    = "in touch with the keepers"
 	EventNotFresh = "out of touch with the keepers"
+	// EventKeeperRestarts tells that a keeper starts anew within its process.
+	EventKeeperRestarts = "keeper restarts"
 	// EventAgreement tells a change in the keepers' agreement.
 	EventAgreement = "agreement"
 	// EventDirectoryUnread and EventDirectoryUnsaved tell of a keeper's file of the directory.
@@ -67,6 +69,7 @@
 	FieldElapsed       = "elapsed_ms"
 	FieldTimeout       = "timeout_ms"
 	FieldRetryAfter    = "retry_after_ms"
+	FieldPause         = "pause"
 	// FieldMissing is the number of shards that an answer leaves out.
 	FieldMissing = "missing"
 	FieldShards  = "shards"
--- a/internal/replicator/engine.go
+++ b/internal/replicator/engine.go
@@ -57,6 +57,9 @@
 		return nil, err
 	}
 	g.publish(g.core.status())
+	if stored.State.Removed {
+		g.core.emit(EventRemoved, Member{})
+	}
 	return g, nil
 }
 
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"path/filepath"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -23,7 +24,6 @@
 	"banyandock.example/banyandock/internal/keeperrunner"
 	"banyandock.example/banyandock/internal/launcher"
 	"banyandock.example/banyandock/internal/linker"
-	"banyandock.example/banyandock/internal/measurer"
 	"banyandock.example/banyandock/internal/registrar"
 	"banyandock.example/banyandock/internal/replicator"
 	"banyandock.example/banyandock/internal/settingsreader"
@@ -44,9 +44,6 @@
 	idleTimeout = 90 * time.Second
 )
 
-// ErrStorage reports that the keeper's storage failed and the keeper stopped.
-var ErrStorage = eris.New("storage failed")
-
 // Wire is how operators and backend servers speak.
 type Wire struct {
 	// Number returns the number of a valid configuration's text.
@@ -69,22 +66,9 @@
 	pool        *linker.Pool
 	control     *http.Server
 	tasks       sync.WaitGroup
-}
 
-// Runner returns the function that runs a keeper on a wire until its context ends.
-func Runner(wire Wire) func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
-	return func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
-		k, err := start(p, settings, wire)
-		if err != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return k.Close()
-		case <-k.replicator.Stopped():
-			return eris.Wrapf(ErrStorage, "%v", k.Close())
-		}
-	}
+	// removed receives a value when another member has this one's place.
+	removed chan struct{}
 }
 
 // start builds the keeper from the bottom up. The control address opens last.
@@ -99,10 +83,11 @@
 		wire:     wire,
 		state:    registrar.New(invariants, registrar.WithHighest()),
 		pool:     linker.NewPool(p.Self(), p.Clock),
+		removed:  make(chan struct{}, 1),
 	}
 	k.transport = keeperrunner.NewTransport(p.Self(), p.Clock)
 	if err := k.openReplicator(invariants); err != nil {
-		return nil, k.abandon(err)
+		return nil, k.abandon(eris.Wrapf(errStorage, "%v", err))
 	}
 	silence := time.Duration(silentHeartbeats * float64(settings.HeartbeatInterval))
 	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.standing, broadcaster.NewShelf(settings.DataFolder), p.Clock, p.Log)
@@ -114,13 +99,16 @@
 	if err := k.listen(); err != nil {
 		return nil, k.abandon(err)
 	}
-	k.expose()
 	return k, nil
 }
 
 // openReplicator joins or forms the group.
 func (k *Keeper) openReplicator(invariants checker.Hook) error {
-	storage, err := journaler.Open(k.settings.DataFolder)
+	folder := memberFolder(k.settings)
+	if err := journaler.FinishErase(folder); err != nil {
+		return err
+	}
+	storage, err := journaler.Open(folder)
 	if err != nil {
 		return err
 	}
@@ -139,6 +127,11 @@
 	return nil
 }
 
+// memberFolder is the folder of what the agreement must not lose.
+func memberFolder(settings *settingsreader.RouteKeeper) string {
+	return filepath.Join(settings.DataFolder, "member")
+}
+
 // group returns the first members. A keeper is named by its address, which is all that the
 // others know of it.
 func (k *Keeper) group() replicator.Settings {
@@ -200,23 +193,6 @@
 	_ = k.control.Serve(listener)
 }
 
-// expose adds the keeper's readiness and metrics to the pages for operators.
-func (k *Keeper) expose() {
-	m := k.process.Metrics
-	k.process.Operator.AddCheck("leader", func() error {
-		if k.replicator.Status().Leader.Name == "" {
-			return errNoLeader
-		}
-		return nil
-	})
-	m.Computed("keeper_term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(k.replicator.Status().Term) })
-	m.Computed("keeper_commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(k.replicator.Status().CommitIndex) })
-	m.Computed("keeper_is_voter", measurer.Count, "1 if this keeper counts toward a majority.", func() int64 { return flag(k.replicator.Status().IsVoter) })
-	m.Computed("keeper_is_leader", measurer.Count, "1 if this keeper leads.", func() int64 { return flag(k.replicator.Status().IsLeader) })
-	m.Computed("keeper_voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(k.replicator.Status().Voters)) })
-	m.Computed("keeper_configuration", measurer.Count, "Number of the committed configuration.", func() int64 { return int64(k.state.Manifest().Number) })
-}
-
 // flag turns a condition into a metric.
 func flag(b bool) int64 {
 	if b {
--- /dev/null
+++ b/internal/routekeeperrunner/runner.go
@@ -0,0 +1,129 @@
+package routekeeperrunner
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"banyandock.example/banyandock/internal/journaler"
+	"banyandock.example/banyandock/internal/launcher"
+	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/replicator"
+	"banyandock.example/banyandock/internal/settingsreader"
+)
+
+// restartPause is the time between two starts of a keeper whose storage fails.
+const restartPause = 500 * time.Millisecond
+
+var (
+	// errStorage reports that the keeper's storage failed. It may work again later.
+	errStorage = eris.New("storage failed")
+	// errRemoved reports that another member has this one's place in the group.
+	errRemoved = eris.New("removed from the group")
+	// errNoLeader is why a keeper without a leader is not ready.
+	errNoLeader = eris.New("no leader is known")
+)
+
+// runner starts a keeper anew when its storage has failed or it lost its place in the group.
+type runner struct {
+	process  *launcher.Process
+	settings settingsreader.RouteKeeper
+	wire     Wire
+	// current is the keeper that runs, or nil between two of them.
+	current atomic.Pointer[Keeper]
+}
+
+// Runner returns the function that runs a keeper on a wire until its context ends.
+func Runner(wire Wire) func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
+	return func(ctx context.Context, p *launcher.Process, settings *settingsreader.RouteKeeper) error {
+		r := &runner{process: p, settings: *settings, wire: wire}
+		r.expose()
+		return r.run(ctx)
+	}
+}
+
+// run runs one keeper after the other. It returns errors that another start cannot mend.
+func (r *runner) run(ctx context.Context) error {
+	for {
+		err := r.serve(ctx)
+		if ctx.Err() != nil {
+			return err
+		}
+		if errors.Is(err, errRemoved) {
+			// What this member holds may be stale. It learns everything anew, without a vote.
+			r.settings.MayForm = false
+			err = journaler.Erase(memberFolder(&r.settings))
+		}
+		if err != nil && !errors.Is(err, errStorage) {
+			return err
+		}
+		r.process.Log.Error().Err(err).Dur(recorder.FieldPause, restartPause).Msg(recorder.EventKeeperRestarts)
+		r.pause(ctx)
+	}
+}
+
+// serve runs one keeper until the context ends or it cannot go on.
+func (r *runner) serve(ctx context.Context) error {
+	k, err := start(r.process, &r.settings, r.wire)
+	if err != nil {
+		return err
+	}
+	r.current.Store(k)
+	defer r.current.Store(nil)
+	select {
+	case <-ctx.Done():
+		return k.Close()
+	case <-k.removed:
+		return errors.Join(errRemoved, k.Close())
+	case <-k.replicator.Stopped():
+		return errors.Join(errStorage, k.Close())
+	}
+}
+
+// pause waits before the next start.
+func (r *runner) pause(ctx context.Context) {
+	timer := r.process.Clock.NewTimer(restartPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// expose adds the keeper's readiness and metrics to the pages for operators.
+func (r *runner) expose() {
+	r.process.Operator.AddCheck("leader", func() error {
+		if r.status().Leader.Name == "" {
+			return errNoLeader
+		}
+		return nil
+	})
+	m := r.process.Metrics
+	m.Computed("keeper_term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(r.status().Term) })
+	m.Computed("keeper_commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(r.status().CommitIndex) })
+	m.Computed("keeper_is_voter", measurer.Count, "1 if this keeper counts toward a majority.", func() int64 { return flag(r.status().IsVoter) })
+	m.Computed("keeper_is_leader", measurer.Count, "1 if this keeper leads.", func() int64 { return flag(r.status().IsLeader) })
+	m.Computed("keeper_voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(r.status().Voters)) })
+	m.Computed("keeper_learners", measurer.Count, "Members that the leader teaches.", func() int64 { return int64(len(r.status().Learners)) })
+	m.Computed("keeper_configuration", measurer.Count, "Number of the committed configuration.", r.number)
+}
+
+// status is the state of the agreement, or the zero one while no keeper runs.
+func (r *runner) status() replicator.Status {
+	if k := r.current.Load(); k != nil {
+		return k.replicator.Status()
+	}
+	return replicator.Status{}
+}
+
+// number is the number of the committed configuration.
+func (r *runner) number() int64 {
+	if k := r.current.Load(); k != nil {
+		return int64(k.state.Manifest().Number)
+	}
+	return 0
+}
--- a/internal/routekeeperrunner/standing.go
+++ b/internal/routekeeperrunner/standing.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/broadcaster"
 	"banyandock.example/banyandock/internal/encoder"
@@ -11,9 +10,6 @@
 	"banyandock.example/banyandock/internal/replicator"
 )
 
-// errNoLeader is why a keeper without a leader is not ready.
-var errNoLeader = eris.New("no leader is known")
-
 // standing tells the broadcaster how the agreement stands.
 func (k *Keeper) standing() broadcaster.Standing {
 	s := k.replicator.Status()
@@ -81,8 +77,14 @@
 	}
 }
 
-// record logs an event of the agreement.
+// record logs an event of the agreement, and stops a member that lost its place.
 func (k *Keeper) record(e replicator.Event) {
+	if e.Kind == replicator.EventRemoved {
+		select {
+		case k.removed <- struct{}{}:
+		default:
+		}
+	}
 	line := k.process.Log.Info().Stringer(recorder.FieldEvent, e.Kind).
 		Uint64(recorder.FieldTerm, e.Term).Uint64(recorder.FieldIndex, e.Index)
 	if e.Member.Name != "" {
