One goroutine a query, prepared requests, workers; time spent before a request counts; budgets of many hosts leave hedges

With 102 docks a service's budget is 1.8 repeats a dock, and a late hedge left one of them untouched: none was ever sent.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -64,7 +64,10 @@
 	sender   *sender.Sender
 	reporter *reporter
 	started  time.Time
-	tasks    sync.WaitGroup
+	// work hands attempts to workers that wait for one.
+	work    chan *attempt
+	closing chan struct{}
+	tasks   sync.WaitGroup
 
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
@@ -84,6 +87,8 @@
 		selector:  selector.New(settings.Domain, settings.Budget, settings.Seed),
 		sender:    s,
 		started:   clock.Now(),
+		work:      make(chan *attempt),
+		closing:   make(chan struct{}),
 		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
 		wheels:    map[matcher.RouteName]*wheel{},
@@ -118,7 +123,10 @@
 }
 
 // Close waits for all requests to backend servers.
-func (f *Forwarder) Close() { f.tasks.Wait() }
+func (f *Forwarder) Close() {
+	close(f.closing)
+	f.tasks.Wait()
+}
 
 // Handle answers one request. The context ends when the caller has left.
 func (f *Forwarder) Handle(ctx context.Context, r *Request) Outcome {
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"errors"
-	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -18,118 +16,86 @@
 	defaultAttempts = 2
 )
 
-// job gets one service's answer to a request. One goroutine runs it.
+// job gets one service's answer to a request. Only the query's goroutine touches it.
 type job struct {
-	// Set at creation.
 	query   *query
 	service identifier.ServiceName
 	latency *selector.Latencies
-	results chan attemptResult
-	// done receives the one result.
-	done    chan result
-	stopped chan struct{}
+	trace   trace
 
-	// hasSent is set once a byte of the request may have left.
-	hasSent atomic.Bool
-
-	trace trace
-
-	// Written by run.
 	asked   []encoder.ServerID
 	running int
 	runs    int
 	sends   int
+	isOver  bool
+	// failure is a server's own failure, which is passed on if nobody does better.
 	failure *sender.Reply
 	reason  Reason
-}
 
-// attempt is one request to one server.
-type attempt struct {
-	job     *job
-	target  selector.Target
-	isExtra bool
-	// number is the attempt's place in the job's trace.
-	number int
+	// hedgeAt is when a second server is asked next. It is zero if none is to be.
+	hedgeAt  time.Time
+	latestAt time.Time
 }
 
-// attemptResult is what became of an attempt.
-type attemptResult struct {
-	attempt *attempt
-	ending  Ending
-	// reply is nil unless a server replied.
-	reply *sender.Reply
+// result is what became of a job: a reply, or the reason why there is none.
+type result struct {
+	reply  *sender.Reply
+	reason Reason
+	// hasRun says that a server may have run the request.
+	hasRun bool
 }
 
 // newJob prepares a request to one service.
-func newJob(q *query, service identifier.ServiceName) *job {
-	return &job{
-		query:   q,
-		service: service,
-		latency: q.forwarder.latency(q.route.Name),
-		results: make(chan attemptResult, maxSends),
-		done:    make(chan result, 1),
-		stopped: make(chan struct{}),
-	}
+func newJob(q *query, service identifier.ServiceName, latency *selector.Latencies) *job {
+	return &job{query: q, service: service, latency: latency}
 }
 
-// stop ends the decisions of the job. Attempts that are running end by their context.
-func (j *job) stop() { close(j.stopped) }
-
-// mayHaveRun tells whether a server may have begun to run the request.
-func (j *job) mayHaveRun() bool { return j.hasSent.Load() }
+// start asks the first server. It returns false if there is none.
+func (j *job) start(now time.Time) bool {
+	j.query.forwarder.selector.CountRequest(j.service)
+	if !j.launch(now, CauseFirst, false) {
+		j.isOver = true
+		return false
+	}
+	if !j.query.route.Idempotent {
+		return true
+	}
+	remaining := time.Duration(0)
+	if !j.query.target.IsZero() {
+		remaining = j.query.target.Sub(now)
+	}
+	early, latest := selector.HedgeTimes(j.latency.Median(), j.latency.High(), remaining)
+	j.hedgeAt, j.latestAt = now.Add(early), now.Add(latest)
+	return true
+}
 
-// run asks servers until one has answered or none is left to ask.
-func (j *job) run() {
-	f := j.query.forwarder
-	f.selector.CountRequest(j.service)
-	if !j.launch(CauseFirst, false) {
-		j.finish(result{reason: ReasonNoServer})
+// hedge asks a second server if it is time, the request may be repeated and the budget
+// allows it. A hedge that the budget refuses early is tried again at the latest moment.
+func (j *job) hedge(now time.Time) {
+	if j.isOver || j.hedgeAt.IsZero() || now.Before(j.hedgeAt) {
 		return
 	}
-	early, latest := selector.HedgeTimes(j.latency.Median(), j.latency.High(), j.remaining())
-	hedge := f.clock.NewTimer(early)
-	defer hedge.Stop()
 	need := selector.NeedEarly
-	for {
-		select {
-		case <-j.stopped:
-			return
-		case <-j.query.ctx.Done():
-			return
-		case <-hedge.C:
-			if !j.hedge(need) && need == selector.NeedEarly {
-				need = selector.NeedLate
-				hedge.Reset(latest - early)
-			}
-		case r := <-j.results:
-			j.running--
-			if j.take(r) {
-				return
-			}
-		}
+	if !now.Before(j.latestAt) {
+		need = selector.NeedLate
 	}
-}
-
-// remaining is how long the answer may take to be in time.
-func (j *job) remaining() time.Duration {
-	if j.query.target.IsZero() {
-		return 0
+	isSent := j.mayRunMore() && j.repeat(now, CauseHedge, need)
+	if isSent || need == selector.NeedLate || !j.mayRunMore() {
+		j.hedgeAt = time.Time{}
+		return
 	}
-	return j.query.target.Sub(j.query.forwarder.clock.Now())
+	j.hedgeAt = j.latestAt
 }
 
-// hedge asks a second server if the request may be repeated and the budget allows it. It
-// returns false if asking later may make a difference.
-func (j *job) hedge(need selector.Need) bool {
-	if !j.query.route.Idempotent || !j.mayRunMore() {
-		return true
-	}
+// repeat asks another server on the budget of repeats. It returns false if there is none or
+// the budget forbids it.
+func (j *job) repeat(now time.Time, cause Cause, need selector.Need) bool {
 	f := j.query.forwarder
 	if !f.selector.MayRepeat(j.service, need) {
-		j.trace.deny(ReasonBudget)
+		j.trace.denied = ReasonBudget
 		return false
 	}
-	if j.launch(CauseHedge, true) {
+	if j.launch(now, cause, true) {
 		return true
 	}
 	f.selector.ReturnRepeat(j.service)
@@ -146,163 +112,90 @@
 }
 
 // launch sends the request to the best server that was not asked yet. It returns false if
-// there is none.
-func (j *job) launch(cause Cause, isExtra bool) bool {
+// there is none, or none where a hedge is of use.
+func (j *job) launch(now time.Time, cause Cause, isExtra bool) bool {
 	f := j.query.forwarder
-	now := f.clock.Now()
 	target, ok := f.selector.Choose(now, j.service, j.asked)
 	if !ok {
-		j.trace.deny(ReasonNoServer)
+		j.trace.denied = ReasonNoServer
 		return false
 	}
 	if cause == CauseHedge && target.IsBusy {
-		j.trace.deny(ReasonCongested)
+		j.trace.denied = ReasonCongested
 		return false
 	}
 	j.asked = append(j.asked, target.ID)
 	j.sends++
 	j.runs++
 	j.running++
-	f.tasks.Add(1)
 	number := j.trace.begin(cause, target, now.Sub(j.query.request.Arrived))
-	go (&attempt{job: j, target: target, isExtra: isExtra, number: number}).run()
+	f.dispatch(&attempt{job: j, target: target, isExtra: isExtra, number: number, usual: j.latency.Median()})
 	return true
 }
 
-// run sends the request and reports what became of it.
-func (a *attempt) run() {
-	j := a.job
-	q := j.query
-	f := q.forwarder
-	defer f.tasks.Done()
-	flight := f.selector.Begin(f.clock.Now(), a.target.ID, j.latency.Median())
-	to := sender.Destination{
-		Address:     a.target.Address,
-		ID:          a.target.ID,
-		Connections: f.connections(q.table, j.service),
-	}
-	j.hasSent.Store(true)
-	began := f.clock.Now()
-	reply, err := f.sender.Send(q.ctx, to, &q.request.Request, q.deadline)
-	now := f.clock.Now()
-	ending := a.judge(&reply, err)
-	a.learn(now, flight, ending, &reply)
-	j.trace.end(a.number, now.Sub(began), ending, reply.Status, err)
-	r := attemptResult{attempt: a, ending: ending}
-	if err == nil {
-		r.reply = &reply
+// take decides what follows from an attempt's end. It returns the job's result once the job
+// is over.
+func (j *job) take(now time.Time, r attemptResult) (result, bool) {
+	j.running--
+	j.trace.end(r)
+	if j.isOver {
+		return result{}, false
 	}
-	j.results <- r
-}
-
-// judge says what became of the attempt.
-func (a *attempt) judge(reply *sender.Reply, err error) Ending {
-	switch {
-	case err == nil && reply.Facts.NotRun:
-		return EndingNotRun
-	case err == nil && isSuccess(reply):
-		return EndingAnswered
-	case err == nil:
-		return EndingFailed
-	case a.job.query.ctx.Err() != nil:
-		return EndingCancelled
-	case errors.Is(err, sender.ErrNotSent):
-		return EndingNotSent
-	default:
-		return EndingLost
-	}
-}
-
-// learn tells the selector what the attempt showed of the server.
-func (a *attempt) learn(now time.Time, flight *selector.Flight, ending Ending, reply *sender.Reply) {
-	f := a.job.query.forwarder
-	switch ending {
-	case EndingAnswered:
-		a.job.latency.Observe(f.selector.Answered(now, flight, false, load(reply.Facts)))
-	case EndingFailed, EndingNotRun:
-		f.selector.Answered(now, flight, true, load(reply.Facts))
-	case EndingNotSent:
-		f.selector.Lost(now, flight, true)
-	case EndingLost:
-		f.selector.Lost(now, flight, false)
-	case EndingRunning, EndingCancelled:
-		f.selector.Cancelled(now, flight)
-	}
-}
-
-// load returns what a server said of its requests, if it did.
-func load(f sender.Facts) *selector.Load {
-	if !f.HasLoad {
-		return nil
-	}
-	return &selector.Load{Running: f.Running, Waiting: f.Waiting, Slots: f.Slots}
-}
-
-// take decides what follows from an attempt's end. It returns true if the job is over.
-func (j *job) take(r attemptResult) bool {
+	isFree := false
 	switch r.ending {
 	case EndingAnswered:
-		j.finish(result{reply: r.reply, hasRun: true})
-		return true
+		return j.finish(result{reply: r.reply, hasRun: true})
 	case EndingFailed:
-		j.failure = r.reply
-		j.reason = ReasonLost
 		if !j.query.route.Idempotent {
-			j.finish(result{reply: r.reply, hasRun: true})
-			return true
+			return j.finish(result{reply: r.reply, hasRun: true})
 		}
-		return j.again(false)
+		j.failure = r.reply
+		j.reason = ReasonLost
 	case EndingNotRun:
 		j.runs--
 		j.reason = ReasonNotRun
-		return j.again(false)
 	case EndingNotSent:
+		// The request never left, so that another one is no repeat.
+		isFree = true
 		j.runs--
 		j.reason = ReasonNoServer
 		if r.attempt.isExtra {
 			j.query.forwarder.selector.ReturnRepeat(j.service)
 		}
-		return j.again(true)
 	default:
 		j.reason = ReasonLost
-		return j.again(false)
 	}
+	if j.retry(now, isFree) || j.running > 0 {
+		return result{}, false
+	}
+	return j.finish(result{reply: j.failure, reason: j.reason, hasRun: j.runs > 0})
 }
 
-// again asks another server in the place of one that failed. IsFree says that the failed
-// request never left, so that another one is no repeat.
-func (j *job) again(isFree bool) bool {
+// retry asks another server in the place of one that failed. It returns false if that is not
+// allowed or there is none.
+func (j *job) retry(now time.Time, isFree bool) bool {
 	mayRepeat := j.query.route.Idempotent || j.runs == 0
-	if mayRepeat && j.mayRunMore() {
-		if j.retry(isFree) {
-			return false
-		}
-	}
-	if j.running > 0 {
+	if !mayRepeat || !j.mayRunMore() {
 		return false
 	}
-	j.finish(result{job: j, reply: j.failure, reason: j.reason, hasRun: j.runs > 0})
-	return true
+	if isFree {
+		return j.launch(now, CauseRetry, false)
+	}
+	return j.repeat(now, CauseRetry, selector.NeedRetry)
 }
 
-// retry asks another server. It returns false if there is none or the budget forbids it.
-func (j *job) retry(isFree bool) bool {
-	f := j.query.forwarder
-	if !isFree && !f.selector.MayRepeat(j.service, selector.NeedRetry) {
-		j.trace.deny(ReasonBudget)
-		return false
-	}
-	if j.launch(CauseRetry, !isFree) {
-		return true
-	}
-	if !isFree {
-		f.selector.ReturnRepeat(j.service)
-	}
-	return false
+// finish ends the job.
+func (j *job) finish(r result) (result, bool) {
+	j.isOver = true
+	return r, true
+}
+
+// isSuccess tells whether a server answered with success.
+func (r result) isSuccess() bool {
+	return r.reply != nil && isSuccess(r.reply)
 }
 
-// finish reports the job's result.
-func (j *job) finish(r result) {
-	r.job = j
-	j.done <- r
+// isSuccess tells whether a reply is a server's success.
+func isSuccess(r *sender.Reply) bool {
+	return r.Status >= 200 && r.Status < 300 && r.Facts.Stamp != "" && !r.Facts.NotRun
 }
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// spentParts is the part of a latency target that callers spend at most before they send.
+	spentParts = 4
 	// answerMargin is how much before the latency target an answer must leave, to reach its
 	// caller in time.
 	answerMargin = 12 * time.Millisecond
@@ -21,12 +23,13 @@
 	loserTime = time.Second
 )
 
-// query is one request that is being answered.
+// query is one request that is being answered, in the goroutine that asked for it.
 type query struct {
 	forwarder *Forwarder
 	table     *matcher.Table
 	route     *matcher.Route
 	request   *Request
+	prepared  *sender.Prepared
 	// deadline is when the caller gives up, or the route's timeout ends.
 	deadline time.Time
 	// target is when an answer must leave to be in time. It is zero without a target.
@@ -34,6 +37,9 @@
 
 	// jobs are the requests to the services of the route.
 	jobs []*job
+	// results receives the ends of attempts until finished is closed.
+	results  chan attemptResult
+	finished chan struct{}
 
 	// ctx ends when the caller has left or the deadline has passed. It outlives the query
 	// for requests whose answers are not needed any more.
@@ -44,24 +50,49 @@
 	detach func() bool
 }
 
+// collector makes an outcome out of the results of a query's jobs.
+type collector interface {
+	// ended takes in a job's result. It returns the outcome, or nil if more is to come.
+	ended(r result) Outcome
+	// due returns the outcome that the time brings, or nil and when to look again.
+	due(now time.Time) (Outcome, time.Time)
+}
+
 // newQuery starts the time of a request.
 func (f *Forwarder) newQuery(ctx context.Context, t *matcher.Table, route *matcher.Route, r *Request) *query {
 	deadline := r.Arrived.Add(route.Timeout)
 	if r.Timeout > 0 && r.Timeout < route.Timeout {
 		deadline = r.Arrived.Add(r.Timeout)
 	}
-	q := &query{forwarder: f, table: t, route: route, request: r, deadline: deadline}
+	q := &query{
+		forwarder: f, table: t, route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
+		finished: make(chan struct{}),
+	}
 	if route.LatencyTarget > 0 {
-		q.target = r.Arrived.Add(max(route.LatencyTarget/2, route.LatencyTarget-answerMargin))
+		remaining := route.LatencyTarget - answerMargin - spentBefore(route, r)
+		q.target = r.Arrived.Add(max(route.LatencyTarget/2, remaining))
 	}
 	q.ctx, q.cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	q.detach = context.AfterFunc(ctx, q.cancel)
 	return q
 }
 
+// spentBefore is how much of its time the caller spent before it sent the request, for the
+// most part on opening a connection: its timeout is then so much shorter than the route's. A
+// caller that simply waits less long than the route allows would seem to have spent more than
+// a part of its latency target, and spent nothing.
+func spentBefore(route *matcher.Route, r *Request) time.Duration {
+	spent := route.Timeout - r.Timeout
+	if r.Timeout <= 0 || spent < 0 || spent > route.LatencyTarget/spentParts {
+		return 0
+	}
+	return spent
+}
+
 // finish lets requests whose answers are not needed run on for a while, so that their
 // connections can be kept. If the caller has left, they are cancelled already.
 func (q *query) finish() {
+	close(q.finished)
 	if !q.detach() {
 		return
 	}
@@ -89,63 +120,111 @@
 func (q *query) answer() Outcome {
 	switch d := q.route.Destination.(type) {
 	case matcher.Single:
-		return q.forward(d.Service)
+		return q.run(&passing{query: q}, d.Service)
 	case matcher.Weighted:
-		return q.forward(q.forwarder.wheel(q.route.Name).next(d.Shares))
+		return q.run(&passing{query: q}, q.forwarder.wheel(q.route.Name).next(d.Shares))
 	case matcher.Scatter:
 		return q.scatter(d)
 	}
 	return NoRoute{}
 }
 
-// forward passes the request to one server of a service.
-func (q *query) forward(service identifier.ServiceName) Outcome {
-	j := newJob(q, service)
-	defer j.stop()
-	q.jobs = []*job{j}
-	timer := q.forwarder.clock.NewTimer(q.giveUpAt().Sub(q.forwarder.clock.Now()))
+// run asks services until the collector has an outcome.
+func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
+	q.start(services)
+	for _, j := range q.jobs {
+		if j.isOver {
+			if o := c.ended(result{reason: ReasonNoServer}); o != nil {
+				return o
+			}
+		}
+	}
+	timer := q.forwarder.clock.NewTimer(0)
 	defer timer.Stop()
-	go j.run()
-	select {
-	case r := <-j.done:
-		return r.outcome()
-	case <-timer.C:
-		if j.mayHaveRun() {
-			return Failed{Reason: ReasonTimeout}
+	for {
+		now := q.forwarder.clock.Now()
+		o, next := c.due(now)
+		if o != nil {
+			return o
+		}
+		timer.Reset(q.hedge(now, next).Sub(now))
+		select {
+		case r := <-q.results:
+			if o := q.take(c, r); o != nil {
+				return o
+			}
+		case <-timer.C:
+		case <-q.ctx.Done():
+			return Failed{Reason: ReasonCallerLeft}
 		}
-		return Refused{After: retrySoon, Reason: ReasonTimeout}
-	case <-q.ctx.Done():
-		return Failed{Reason: ReasonCallerLeft}
 	}
 }
 
-// result is what became of a job: a reply, or the reason why there is none.
-type result struct {
-	job    *job
-	reply  *sender.Reply
-	reason Reason
-	// hasRun says that a server may have run the request.
-	hasRun bool
+// start asks a server of each service.
+func (q *query) start(services []identifier.ServiceName) {
+	q.results = make(chan attemptResult, len(services))
+	q.jobs = make([]*job, 0, len(services))
+	latency := q.forwarder.latency(q.route.Name)
+	for _, s := range services {
+		j := newJob(q, s, latency)
+		q.jobs = append(q.jobs, j)
+		j.start(q.forwarder.clock.Now())
+	}
 }
 
-// isSuccess tells whether a server answered with success.
-func (r result) isSuccess() bool {
-	return r.reply != nil && isSuccess(r.reply)
+// take gives an attempt's end, and others that have come meanwhile, to their jobs.
+func (q *query) take(c collector, r attemptResult) Outcome {
+	for {
+		if ended, isOver := r.attempt.job.take(q.forwarder.clock.Now(), r); isOver {
+			if o := c.ended(ended); o != nil {
+				return o
+			}
+		}
+		select {
+		case r = <-q.results:
+		default:
+			return nil
+		}
+	}
+}
+
+// hedge asks second servers where it is time, and returns the earlier of a moment and that of
+// the next hedge.
+func (q *query) hedge(now, next time.Time) time.Time {
+	for _, j := range q.jobs {
+		j.hedge(now)
+		if !j.isOver && !j.hedgeAt.IsZero() && j.hedgeAt.Before(next) {
+			next = j.hedgeAt
+		}
+	}
+	return next
 }
 
-// isSuccess tells whether a reply is a server's success.
-func isSuccess(r *sender.Reply) bool {
-	return r.Status >= 200 && r.Status < 300 && r.Facts.Stamp != "" && !r.Facts.NotRun
+// passing passes one server's answer on.
+type passing struct {
+	query *query
 }
 
-// outcome turns the result of a job into the outcome of the whole request.
-func (r result) outcome() Outcome {
+// ended turns the result of the only job into the outcome.
+func (p *passing) ended(r result) Outcome {
 	switch {
 	case r.reply != nil:
 		return Answer{Reply: *r.reply}
 	case r.hasRun:
 		return Failed{Reason: r.reason}
 	default:
-		return Refused{After: r.job.query.forwarder.comeBack(), Reason: r.reason}
+		return Refused{After: p.query.forwarder.comeBack(), Reason: r.reason}
+	}
+}
+
+// due gives up when the time is up.
+func (p *passing) due(now time.Time) (Outcome, time.Time) {
+	giveUp := p.query.giveUpAt()
+	if now.Before(giveUp) {
+		return nil, giveUp
+	}
+	if p.query.jobs[0].runs > 0 {
+		return Failed{Reason: ReasonTimeout}, giveUp
 	}
+	return Refused{After: retrySoon, Reason: ReasonTimeout}, giveUp
 }
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -14,8 +14,12 @@
 	"banyandock.example/banyandock/internal/recorder"
 )
 
-// reportInterval is how often ordinary requests are counted in the log.
-const reportInterval = 10 * time.Second
+const (
+	// reportInterval is how often ordinary requests are counted in the log.
+	reportInterval = 10 * time.Second
+	// maxJobs bounds the services that one line tells of.
+	maxJobs = 6
+)
 
 // reporter counts requests for log and metrics, and tells of those that were not answered
 // wholly and in time. It is safe for concurrent use.
@@ -134,12 +138,18 @@
 	return q.route.LatencyTarget > 0 && now.Sub(q.request.Arrived) > q.route.LatencyTarget
 }
 
-// unusualJobs returns the attempts of the jobs that did not go plainly.
+// unusualJobs returns the attempts of the jobs that did not go plainly, those without an
+// answer first, and not more than maxJobs.
 func (q *query) unusualJobs() jobTraces {
 	list := jobTraces{}
-	for _, j := range q.jobs {
-		if !j.trace.isPlain() {
-			list = append(list, jobTrace{service: j.service, trace: &j.trace})
+	for _, wantsAnswered := range []bool{false, true} {
+		for _, j := range q.jobs {
+			if len(list) == maxJobs {
+				return list
+			}
+			if !j.trace.isPlain() && j.trace.isAnswered() == wantsAnswered {
+				list = append(list, jobTrace{service: j.service, trace: &j.trace})
+			}
 		}
 	}
 	return list
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -1,14 +1,15 @@
 package forwarder
 
 import (
+	"time"
+
 	"banyandock.example/banyandock/internal/matcher"
 )
 
-// gathering is a request to all shards of an index.
+// gathering puts the parts of all shards of an index together.
 type gathering struct {
 	query       *query
 	destination matcher.Scatter
-	results     chan result
 
 	parts  [][]byte
 	stamps []string
@@ -17,7 +18,7 @@
 
 // scatter asks one server of each shard and gathers their parts.
 func (q *query) scatter(d matcher.Scatter) Outcome {
-	g := &gathering{query: q, destination: d, results: make(chan result, len(d.Services))}
+	g := &gathering{query: q, destination: d}
 	f := q.forwarder
 	now := f.clock.Now()
 	reachable := 0
@@ -29,71 +30,56 @@
 	if !g.isEnough(reachable) {
 		return Refused{After: f.comeBack(), Reason: ReasonNoServer}
 	}
-	for _, s := range d.Services {
-		j := newJob(q, s)
-		j.done = g.results
-		defer j.stop()
-		q.jobs = append(q.jobs, j)
-		go j.run()
+	return q.run(g, d.Services...)
+}
+
+// ended adds one shard's result.
+func (g *gathering) ended(r result) Outcome {
+	if r.isSuccess() {
+		g.parts = append(g.parts, r.reply.Body)
+		g.stamps = append(g.stamps, r.reply.Facts.Stamp)
+	} else {
+		g.failed++
+	}
+	if g.pending() == 0 {
+		return g.answer()
+	}
+	if !g.isEnough(len(g.parts) + g.pending()) {
+		return g.tooFew()
 	}
-	return g.collect()
+	return nil
 }
 
-// collect waits for the parts: for all of them until the latency target, then for enough.
-func (g *gathering) collect() Outcome {
+// due answers with the parts that there are, if they are enough, when the latency target has
+// come. If they are not enough then, the answer is late, and waits one target more for the
+// rest before enough parts suffice.
+func (g *gathering) due(now time.Time) (Outcome, time.Time) {
 	q := g.query
-	f := q.forwarder
-	now := f.clock.Now()
-	inTime, late := q.target, q.target.Add(q.route.LatencyTarget)
+	if !now.Before(q.giveUpAt()) {
+		return g.tooFew(), now
+	}
 	if q.target.IsZero() {
 		// Without a target, only the whole answer or the end of the time counts.
-		inTime, late = q.giveUpAt(), q.giveUpAt()
+		return nil, q.giveUpAt()
 	}
-	target := f.clock.NewTimer(inTime.Sub(now))
-	defer target.Stop()
-	second := f.clock.NewTimer(late.Sub(now))
-	defer second.Stop()
-	giveUp := f.clock.NewTimer(q.giveUpAt().Sub(now))
-	defer giveUp.Stop()
-	isLate := false
-	for g.pending() > 0 {
-		select {
-		case r := <-g.results:
-			g.take(r)
-			if isLate && g.isEnough(len(g.parts)) {
-				return g.answer()
-			}
-			if !g.isEnough(len(g.parts) + g.pending()) {
-				return g.tooFew()
-			}
-		case <-target.C:
-			if g.isEnough(len(g.parts)) {
-				return g.answer()
-			}
-		case <-second.C:
-			isLate = true
-			if g.isEnough(len(g.parts)) {
-				return g.answer()
-			}
-		case <-giveUp.C:
-			return g.tooFew()
-		case <-q.ctx.Done():
-			return Failed{Reason: ReasonCallerLeft}
+	late := q.target.Add(q.route.LatencyTarget)
+	switch {
+	case now.Before(q.target):
+		return nil, q.target
+	case now.Before(q.target.Add(targetSlack)), !now.Before(late):
+		if g.isEnough(len(g.parts)) {
+			return g.answer(), now
 		}
 	}
-	return g.answer()
-}
-
-// take adds one shard's result.
-func (g *gathering) take(r result) {
-	if !r.isSuccess() {
-		g.failed++
-		return
+	if now.Before(late) {
+		return nil, late
 	}
-	g.parts = append(g.parts, r.reply.Body)
-	g.stamps = append(g.stamps, r.reply.Facts.Stamp)
+	return nil, q.giveUpAt()
 }
 
+// targetSlack is how long after the target a wake-up still counts as being in time.
+const targetSlack = 5 * time.Millisecond
+
 // pending is the number of shards without a result.
 func (g *gathering) pending() int {
 	return len(g.destination.Services) - len(g.parts) - g.failed
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -62,48 +61,46 @@
 	detail  string
 }
 
-// trace records the attempts of one job. It is safe for concurrent use.
+// trace records the attempts of one job.
 type trace struct {
-	// Guarded by mutex.
-	mutex sync.Mutex
 	steps []step
 	// denied says why a further server was not asked.
 	denied Reason
 }
 
-// deny records why a further server was not asked.
-func (t *trace) deny(r Reason) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.denied = r
-}
-
 // begin records an attempt and returns its number.
 func (t *trace) begin(cause Cause, target selector.Target, at time.Duration) int {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	t.steps = append(t.steps, step{cause: cause, server: target.ID, score: target.Score, seen: target.Seen, started: at})
 	return len(t.steps) - 1
 }
 
 // end records what became of an attempt.
-func (t *trace) end(n int, elapsed time.Duration, ending Ending, status int, err error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	s := &t.steps[n]
-	s.elapsed, s.ending, s.status = elapsed, ending, status
-	if err != nil {
-		s.detail = err.Error()
+func (t *trace) end(r attemptResult) {
+	s := &t.steps[r.attempt.number]
+	s.elapsed, s.ending = r.elapsed, r.ending
+	if r.reply != nil {
+		s.status = r.reply.Status
+	}
+	if r.err != nil {
+		s.detail = r.err.Error()
 	}
 }
 
 // isPlain tells whether the first server that was asked answered.
 func (t *trace) isPlain() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	return len(t.steps) == 1 && t.steps[0].ending == EndingAnswered
 }
 
+// isAnswered tells whether some server answered.
+func (t *trace) isAnswered() bool {
+	for _, s := range t.steps {
+		if s.ending == EndingAnswered {
+			return true
+		}
+	}
+	return false
+}
+
 // jobTrace is a job's attempts in the form of the log.
 type jobTrace struct {
 	service identifier.ServiceName
@@ -113,19 +110,14 @@
 // MarshalZerologObject writes the service and its attempts.
 func (j jobTrace) MarshalZerologObject(e *zerolog.Event) {
 	e.Str(recorder.FieldService, string(j.service))
-	j.trace.mutex.Lock()
-	denied := j.trace.denied
-	j.trace.mutex.Unlock()
-	if denied != ReasonNone {
-		e.Stringer(recorder.FieldDenied, denied)
+	if j.trace.denied != ReasonNone {
+		e.Stringer(recorder.FieldDenied, j.trace.denied)
 	}
 	e.Array(recorder.FieldAttempts, j.trace)
 }
 
 // MarshalZerologArray writes the attempts in the order of their starts.
 func (t *trace) MarshalZerologArray(a *zerolog.Array) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	for _, s := range t.steps {
 		a.Object(s)
 	}
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -10,9 +10,11 @@
 	ratioShare = 0.9
 	// slackShare is the part of the allowed slack that the hosts split.
 	slackShare = 0.7
-	// hedgeReserve is how many repeats a late hedge leaves for requests that failed, and
-	// earlyReserve the part of the capacity that an early hedge leaves for late ones.
-	hedgeReserve = 1
+	// startShare is the part of the capacity that a host starts with.
+	startShare = 0.5
+	// lateReserve is the part of the capacity beyond one repeat that a late hedge leaves for
+	// requests that failed, and earlyReserve what an early hedge leaves for late ones.
+	lateReserve  = 0.25
 	earlyReserve = 0.6
 )
 
@@ -41,16 +43,21 @@
 	tokens float64
 }
 
-// capacity is the largest number of repeats that may follow each other at once.
+// capacity is the largest number of repeats that may follow each other at once. With less
+// than one a host could repeat nothing, however many requests it has had.
 func (s *Selector) capacity() float64 {
-	return slackShare * float64(s.limits.Slack) / float64(s.docks)
+	if s.limits.Ratio == 0 && s.limits.Slack == 0 {
+		return 0
+	}
+	return max(1, slackShare*float64(s.limits.Slack)/float64(s.docks))
 }
 
 // budget returns the budget of a service, full at first.
 func (s *Selector) budget(service identifier.ServiceName) *budget {
 	b := s.budgets[service]
 	if b == nil {
-		b = &budget{tokens: s.capacity()}
+		// A host that has restarted may have spent its repeats a moment ago.
+		b = &budget{tokens: startShare * s.capacity()}
 		s.budgets[service] = b
 	}
 	return b
@@ -79,11 +86,12 @@
 
 // reserve is what a repeat must leave in the budget.
 func (s *Selector) reserve(need Need) float64 {
+	spare := max(0, s.capacity()-1)
 	switch need {
 	case NeedEarly:
-		return max(hedgeReserve, earlyReserve*s.capacity())
+		return earlyReserve * spare
 	case NeedLate:
-		return min(hedgeReserve, s.capacity()/2)
+		return lateReserve * spare
 	default:
 		return 0
 	}
--- a/internal/selector/hedge.go
+++ b/internal/selector/hedge.go
@@ -5,6 +5,8 @@
 const (
 	// leastHedgeDelay keeps hedges from going out before an answer can be back.
 	leastHedgeDelay = 4 * time.Millisecond
+	// unknownHedgeDelay is used while nothing is known of a route's latency.
+	unknownHedgeDelay = 100 * time.Millisecond
 	// earlyMedians bounds the early hedge in usual latencies: while many servers are slow, the
 	// high quantile is the slow servers' latency.
 	earlyMedians = 3
@@ -18,6 +20,9 @@
 // stuck, so that few hedges are wasted. Remaining is the time until the answer must leave,
 // and zero if it has no such time.
 func HedgeTimes(median, high, remaining time.Duration) (early, latest time.Duration) {
+	if median == 0 && remaining == 0 {
+		return unknownHedgeDelay, unknownHedgeDelay
+	}
 	if median == 0 {
 		early = max(leastHedgeDelay, remaining/3)
 		return early, early
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -1,9 +1,7 @@
 package sender
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,7 +17,7 @@
 	sender     *Sender
 	connection *connection
 	to         Destination
-	request    *Request
+	request    *Prepared
 	deadline   time.Time
 	// isAborted is set when the context has ended.
 	isAborted atomic.Bool
@@ -54,7 +52,7 @@
 		if err != nil {
 			return Reply{}, false, eris.Wrapf(ErrLost, "read: %v", err)
 		}
-		if reply.Facts.Request == x.request.ID {
+		if reply.Facts.Request == x.request.id {
 			// Bytes behind the reply belong to no request.
 			return reply, staysOpen && x.connection.reader.Buffered() == 0, nil
 		}
@@ -69,31 +67,21 @@
 // encode renders the request with the attempt's headers.
 func (x *exchange) encode() []byte {
 	r := x.request
-	header := r.Header.Clone()
-	if header == nil {
-		header = http.Header{}
-	}
 	remaining := time.Duration(0)
 	if !x.deadline.IsZero() {
 		remaining = max(time.Millisecond, x.deadline.Sub(x.sender.clock.Now()))
 	}
-	x.sender.protocol.Stamp(header, Attempt{Remaining: remaining, Server: x.to.ID})
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
-	}
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	// Writes to a bytes.Buffer do not fail.
-	_ = header.Write(&b)
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	b := make([]byte, 0, len(r.head)+len(r.body)+stampBytes)
+	b = append(b, r.head...)
+	b = x.sender.protocol.AppendStamp(b, Attempt{Remaining: remaining, Server: x.to.ID})
+	b = append(b, "\r\n"...)
+	return append(b, r.body...)
 }
 
 // read reads one final reply. It tells whether the connection stays open behind it.
 func (x *exchange) read() (reply Reply, staysOpen bool, err error) {
 	for {
-		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
+		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.method})
 		if err != nil {
 			return Reply{}, false, err
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -4,10 +4,13 @@
 package sender
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +36,8 @@
 	maxReplyBytes = 4 << 20
 	// maxForeignReplies is how many replies to other requests are skipped on a connection.
 	maxForeignReplies = 2
+	// stampBytes is room for the headers of an attempt.
+	stampBytes = 160
 	// readerBytes is the size of a connection's read buffer.
 	readerBytes = 8 << 10
 )
@@ -46,8 +51,10 @@
 
 // Protocol names what travels in headers beside the request itself.
 type Protocol interface {
-	// Stamp writes an attempt's own headers into those of the request.
-	Stamp(header http.Header, attempt Attempt)
+	// Own tells whether a header is written for each attempt anew.
+	Own(name string) bool
+	// AppendStamp appends the lines of an attempt's own headers.
+	AppendStamp(lines []byte, attempt Attempt) []byte
 	// Facts reads what a server says of itself and of the request in a reply's headers.
 	Facts(status int, header http.Header) Facts
 }
@@ -90,6 +97,39 @@
 	Body   []byte
 }
 
+// Prepared is a request whose lines are rendered, but for each attempt's own.
+type Prepared struct {
+	id     string
+	method string
+	// head ends before the own headers of an attempt.
+	head []byte
+	body []byte
+}
+
+// Prepare renders a request that may be sent several times.
+func (s *Sender) Prepare(r *Request) *Prepared {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	for name, values := range r.Header {
+		if s.protocol.Own(name) {
+			continue
+		}
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(lineBreaks.Replace(v))
+			b.WriteString("\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	return &Prepared{id: r.ID, method: r.Method, head: b.Bytes(), body: r.Body}
+}
+
+// lineBreaks keeps a header's value from ending its line.
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
 // Reply is a server's whole answer.
 type Reply struct {
 	Status int
@@ -139,7 +179,7 @@
 
 // Send passes a request to a server and returns its whole reply. Its errors wrap ErrNotSent
 // or ErrLost. The end of the context closes the connection.
-func (s *Sender) Send(ctx context.Context, to Destination, request *Request, deadline time.Time) (Reply, error) {
+func (s *Sender) Send(ctx context.Context, to Destination, request *Prepared, deadline time.Time) (Reply, error) {
 	p := s.pool(to.Address)
 	if p == nil {
 		return Reply{}, eris.Wrap(ErrNotSent, "the sender is closed")
