--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,7 +63,9 @@
 	selector *selector.Selector
 	sender   *sender.Sender
 	reporter *reporter
-	started  time.Time
+	// overshoot is how late answers leave that were planned for the latency target.
+	overshoot overshoot
+	started   time.Time
 	// work hands attempts to workers that wait for one.
 	work    chan *attempt
 	closing chan struct{}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -69,7 +69,7 @@
 		finished: make(chan struct{}),
 	}
 	if route.LatencyTarget > 0 {
-		remaining := route.LatencyTarget - answerMargin - spentBefore(route, r)
+		remaining := route.LatencyTarget - answerMargin - spentBefore(route, r) - f.overshoot.margin()
 		q.target = r.Arrived.Add(max(route.LatencyTarget/2, remaining))
 	}
 	q.ctx, q.cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -11,14 +11,14 @@
 	query       *query
 	destination matcher.Scatter
 
-	parts  [][]byte
-	stamps []string
-	failed int
+	ranking ranking
+	stamps  []string
+	failed  int
 }
 
 // scatter asks one server of each shard and gathers their parts.
 func (q *query) scatter(d matcher.Scatter) Outcome {
-	g := &gathering{query: q, destination: d}
+	g := &gathering{query: q, destination: d, ranking: ranking{limit: d.RowLimit}}
 	f := q.forwarder
 	now := f.clock.Now()
 	reachable := 0
@@ -36,7 +36,7 @@
 // ended adds one shard's result.
 func (g *gathering) ended(r result) Outcome {
 	if r.isSuccess() {
-		g.parts = append(g.parts, r.reply.Body)
+		g.ranking.add(r.reply.Body)
 		g.stamps = append(g.stamps, r.reply.Facts.Stamp)
 	} else {
 		g.failed++
@@ -44,12 +44,18 @@
 	if g.pending() == 0 {
 		return g.answer()
 	}
-	if !g.isEnough(len(g.parts) + g.pending()) {
+	if !g.isEnough(len(g.stamps) + g.pending()) {
 		return g.tooFew()
 	}
 	return nil
 }
 
+// leave notes how long after the planned moment an answer leaves.
+func (g *gathering) leave(planned time.Time) Outcome {
+	g.query.forwarder.overshoot.observe(g.query.forwarder.clock.Now().Sub(planned))
+	return g.answer()
+}
+
 // due answers with the parts that there are, if they are enough, when the latency target has
 // come. If they are not enough then, the answer is late, and waits one target more for the
 // rest before enough parts suffice.
@@ -66,10 +72,10 @@
 	switch {
 	case now.Before(q.target):
 		return nil, q.target
-	case now.Before(q.target.Add(targetSlack)), !now.Before(late):
-		if g.isEnough(len(g.parts)) {
-			return g.answer(), now
-		}
+	case now.Before(q.target.Add(targetSlack)) && g.isEnough(len(g.stamps)):
+		return g.leave(q.target), now
+	case !now.Before(late) && g.isEnough(len(g.stamps)):
+		return g.answer(), now
 	}
 	if now.Before(late) {
 		return nil, late
@@ -77,12 +83,13 @@
 	return nil, q.giveUpAt()
 }
 
-// targetSlack is how long after the target a wake-up still counts as being in time.
-const targetSlack = 5 * time.Millisecond
+// targetSlack is how long after the target a wake-up still counts as being in time. Timers on a
+// host with a small share of a processor are late.
+const targetSlack = 20 * time.Millisecond
 
 // pending is the number of shards without a result.
 func (g *gathering) pending() int {
-	return len(g.destination.Services) - len(g.parts) - g.failed
+	return len(g.destination.Services) - len(g.stamps) - g.failed
 }
 
 // isEnough tells whether a number of parts makes an answer.
@@ -92,13 +99,13 @@
 
 // answer puts the parts together.
 func (g *gathering) answer() Outcome {
-	if !g.isEnough(len(g.parts)) {
+	if !g.isEnough(len(g.stamps)) {
 		return g.tooFew()
 	}
 	return Gathered{
 		Stamps:  g.stamps,
-		Missing: len(g.destination.Services) - len(g.parts),
-		Body:    greatest(g.parts, g.destination.RowLimit),
+		Missing: len(g.destination.Services) - len(g.stamps),
+		Body:    g.ranking.body(),
 	}
 }
 
--- a/internal/locator/catalog.go
+++ b/internal/locator/catalog.go
@@ -82,6 +82,17 @@
 // Remove forgets a keeper that is no member any more.
 func (c *Catalog) Remove(keeper netip.AddrPort) { delete(c.keepers, keeper) }
 
+// IsSettled tells whether the servers change with news only, and not with time.
+func (c *Catalog) IsSettled(now time.Time) bool {
+	for _, r := range c.keepers {
+		isAging := !r.disconnected.IsZero() || len(r.orphans) > 0 && now.Sub(r.orphanedAt) <= 2*orphanTime
+		if isAging {
+			return false
+		}
+	}
+	return true
+}
+
 // Servers returns the servers that may take work, by service and ordered by ID.
 func (c *Catalog) Servers(now time.Time) map[identifier.ServiceName][]Server {
 	merged := c.merge(now)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -151,7 +151,9 @@
 			return
 		case <-ticker.C:
 			w.mutex.Lock()
-			w.publish()
+			if !w.catalog.IsSettled(w.clock.Now()) {
+				w.publish()
+			}
 			w.mutex.Unlock()
 		}
 	}
