Docks learn of slow servers from each other

Cause: among 102 docks each sees a server once in seven seconds, and finds out alone that it is slow long after it has recovered. Docks now send what they saw four times a second to the leading keeper, which judges by the share of slow requests, so that pauses do not count, and tells all.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -57,6 +58,10 @@
 	// Guarded by mutex.
 	mutex sync.Mutex
 	book  *locator.Book
+	judge *locator.Judge
+	// verdicts are the judge's latest, and verdictsDigest identifies them.
+	verdicts       []encoder.Verdict
+	verdictsDigest uint64
 	// changes are the last ones; base is the number of those before.
 	changes []encoder.Registration
 	base    uint64
@@ -78,6 +83,7 @@
 		log:      log,
 		stop:     make(chan struct{}),
 		book:     locator.NewBook(silence),
+		judge:    locator.NewJudge(),
 		docks:    map[identifier.HostName]time.Time{},
 		changed:  make(chan struct{}),
 	}
@@ -155,6 +161,7 @@
 			return
 		case <-ticker.C:
 			b.update(func(now time.Time) []encoder.Registration { return b.book.Sweep(now) })
+			b.Observe(nil)
 		}
 	}
 }
@@ -174,6 +181,36 @@
 	b.update(func(now time.Time) []encoder.Registration { return b.book.Depart(now, r) })
 }
 
+// Observe takes in what a dock saw of the servers, and tells the docks if that changes which
+// servers are slow.
+func (b *Broadcaster) Observe(observations []encoder.Observation) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.clock.Now()
+	b.judge.Observe(now, observations)
+	verdicts := b.judge.Verdicts(now)
+	digest := verdictsDigest(verdicts)
+	if digest == b.verdictsDigest {
+		return
+	}
+	b.verdicts, b.verdictsDigest = verdicts, digest
+	b.wake()
+}
+
+// verdictsDigest identifies a list of verdicts. It is zero for an empty one.
+func verdictsDigest(verdicts []encoder.Verdict) uint64 {
+	if len(verdicts) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	for _, v := range verdicts {
+		// xxhash's Write never returns an error.
+		_, _ = d.WriteString(string(v.Server))
+		_, _ = d.Write([]byte{0, byte(v.Ratio)})
+	}
+	return d.Sum64() | 1
+}
+
 // Notify wakes the docks because the committed configuration or the members changed.
 func (b *Broadcaster) Notify() {
 	b.mutex.Lock()
@@ -245,6 +282,10 @@
 		Voters:        s.Voters,
 		Docks:         b.countDocks(now),
 	}
+	reply.VerdictsDigest = b.verdictsDigest
+	if b.verdictsDigest != request.VerdictsDigest {
+		reply.Verdicts = b.verdicts
+	}
 	if s.MembersDigest != request.MembersDigest {
 		reply.Members = s.Members
 	}
@@ -255,7 +296,7 @@
 		reply.Servers = b.changes[request.Seen-b.base:]
 	}
 	hasNews := reply.IsWhole || len(reply.Servers) > 0 || s.Configuration > request.Configuration ||
-		s.IsLeader && s.MembersDigest != request.MembersDigest
+		s.IsLeader && (s.MembersDigest != request.MembersDigest || b.verdictsDigest != request.VerdictsDigest)
 	return reply, hasNews, changed
 }
 
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -81,4 +81,6 @@
 	KindConfirm
 	// KindDepart carries a Registration that ends from one keeper to another.
 	KindDepart
+	// KindObserve carries an ObserveNotice from a dock to the leading keeper.
+	KindObserve
 )
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepart"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobserve"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepart"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobserve"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -40,46 +40,49 @@
 	_ = x[KindFetch-13]
 	_ = x[KindConfirm-14]
 	_ = x[KindDepart-15]
+	_ = x[KindObserve-16]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve}
 
 var _KindNameToValueMap = map[string]Kind{
-	_KindName[0:4]:    KindNone,
-	_KindName[4:15]:   KindShardBatch,
-	_KindName[15:23]:  KindHandover,
-	_KindName[23:27]:  KindPoll,
-	_KindName[27:32]:  KindClaim,
-	_KindName[32:38]:  KindSettle,
-	_KindName[38:44]:  KindSubmit,
-	_KindName[44:50]:  KindStatus,
-	_KindName[50:56]:  KindEvents,
-	_KindName[56:65]:  KindAgreement,
-	_KindName[65:75]:  KindQuarantine,
-	_KindName[75:81]:  KindCanary,
-	_KindName[81:86]:  KindWatch,
-	_KindName[86:91]:  KindFetch,
-	_KindName[91:98]:  KindConfirm,
-	_KindName[98:104]: KindDepart,
+	_KindName[0:4]:     KindNone,
+	_KindName[4:15]:    KindShardBatch,
+	_KindName[15:23]:   KindHandover,
+	_KindName[23:27]:   KindPoll,
+	_KindName[27:32]:   KindClaim,
+	_KindName[32:38]:   KindSettle,
+	_KindName[38:44]:   KindSubmit,
+	_KindName[44:50]:   KindStatus,
+	_KindName[50:56]:   KindEvents,
+	_KindName[56:65]:   KindAgreement,
+	_KindName[65:75]:   KindQuarantine,
+	_KindName[75:81]:   KindCanary,
+	_KindName[81:86]:   KindWatch,
+	_KindName[86:91]:   KindFetch,
+	_KindName[91:98]:   KindConfirm,
+	_KindName[98:104]:  KindDepart,
+	_KindName[104:111]: KindObserve,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
-	_KindLowerName[0:4]:    KindNone,
-	_KindLowerName[4:15]:   KindShardBatch,
-	_KindLowerName[15:23]:  KindHandover,
-	_KindLowerName[23:27]:  KindPoll,
-	_KindLowerName[27:32]:  KindClaim,
-	_KindLowerName[32:38]:  KindSettle,
-	_KindLowerName[38:44]:  KindSubmit,
-	_KindLowerName[44:50]:  KindStatus,
-	_KindLowerName[50:56]:  KindEvents,
-	_KindLowerName[56:65]:  KindAgreement,
-	_KindLowerName[65:75]:  KindQuarantine,
-	_KindLowerName[75:81]:  KindCanary,
-	_KindLowerName[81:86]:  KindWatch,
-	_KindLowerName[86:91]:  KindFetch,
-	_KindLowerName[91:98]:  KindConfirm,
-	_KindLowerName[98:104]: KindDepart,
+	_KindLowerName[0:4]:     KindNone,
+	_KindLowerName[4:15]:    KindShardBatch,
+	_KindLowerName[15:23]:   KindHandover,
+	_KindLowerName[23:27]:   KindPoll,
+	_KindLowerName[27:32]:   KindClaim,
+	_KindLowerName[32:38]:   KindSettle,
+	_KindLowerName[38:44]:   KindSubmit,
+	_KindLowerName[44:50]:   KindStatus,
+	_KindLowerName[50:56]:   KindEvents,
+	_KindLowerName[56:65]:   KindAgreement,
+	_KindLowerName[65:75]:   KindQuarantine,
+	_KindLowerName[75:81]:   KindCanary,
+	_KindLowerName[81:86]:   KindWatch,
+	_KindLowerName[86:91]:   KindFetch,
+	_KindLowerName[91:98]:   KindConfirm,
+	_KindLowerName[98:104]:  KindDepart,
+	_KindLowerName[104:111]: KindObserve,
 }
 
 var _KindNames = []string{
@@ -99,6 +102,7 @@
 	_KindName[86:91],
 	_KindName[91:98],
 	_KindName[98:104],
+	_KindName[104:111],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -57,7 +57,9 @@
 	Configuration uint64
 	// MembersDigest identifies the list of keepers that the dock knows.
 	MembersDigest uint64
-	Wait          time.Duration
+	// VerdictsDigest identifies the verdicts that the dock knows.
+	VerdictsDigest uint64
+	Wait           time.Duration
 }
 
 // WatchReply answers a WatchRequest.
@@ -78,10 +80,37 @@
 	// Voters is the number of voters.
 	Voters   int
 	IsLeader bool
+	// Verdicts are, on the leader, the servers that most docks find slow. The list is left out
+	// if its digest is the one that the dock knows.
+	Verdicts       []Verdict
+	VerdictsDigest uint64
 	// Docks is the number of docks that watch this keeper.
 	Docks int
 }
 
+// Observation sums up what one dock saw of one server in an interval.
+type Observation struct {
+	Server ServerID `msgpack:"i"`
+	// Count is the number of requests that ended, and Slow that of those which took much
+	// longer than usual or failed.
+	Count int `msgpack:"n"`
+	Slow  int `msgpack:"s,omitempty"`
+	// Ratio is the sum of the slow ones' latencies in multiples of the usual.
+	Ratio float64 `msgpack:"r,omitempty"`
+}
+
+// ObserveNotice carries a dock's observations to the leader.
+type ObserveNotice struct {
+	Observations []Observation
+}
+
+// Verdict says that a server is slow.
+type Verdict struct {
+	Server ServerID `msgpack:"i"`
+	// Ratio is the server's latency in multiples of the usual.
+	Ratio float64 `msgpack:"r"`
+}
+
 // FetchRequest asks a keeper for the committed configuration that it applied.
 type FetchRequest struct{}
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
@@ -116,6 +117,12 @@
 	f.selector.Update(services)
 }
 
+// TakeObservations returns what was seen of the servers since the last call.
+func (f *Forwarder) TakeObservations() []encoder.Observation { return f.selector.TakeObservations() }
+
+// SetVerdicts replaces the servers that most docks find slow.
+func (f *Forwarder) SetVerdicts(verdicts []encoder.Verdict) { f.selector.SetVerdicts(verdicts) }
+
 // SetDocks tells how many hosts share the budget of repeats and the servers' connections.
 func (f *Forwarder) SetDocks(n int) {
 	f.selector.SetDocks(n)
--- /dev/null
+++ b/internal/locator/judge_test.go
@@ -0,0 +1,46 @@
+package locator_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/locator"
+)
+
+// see is a dock's observation of the server "a".
+func see(count, slow int) []encoder.Observation {
+	return []encoder.Observation{{Server: "a", Count: count, Slow: slow, Ratio: 7 * float64(slow)}}
+}
+
+func TestServerThatMostRequestsFindSlow(t *testing.T) {
+	j := locator.NewJudge()
+	j.Observe(start, see(2, 2))
+	assert.Equal(t, len(j.Verdicts(start)), 0, "too little evidence")
+	for range 4 {
+		j.Observe(start, see(2, 2))
+	}
+	assert.DeepEqual(t, j.Verdicts(start), []encoder.Verdict{{Server: "a", Ratio: 8}})
+	assert.Equal(t, len(j.Verdicts(at(10*time.Second))), 0, "without news it is tried again")
+	j.Observe(at(10*time.Second), see(8, 8))
+	assert.Equal(t, len(j.Verdicts(at(10*time.Second))), 1)
+	j.Observe(at(11*time.Second), see(12, 0))
+	assert.Equal(t, len(j.Verdicts(at(11*time.Second))), 0, "it recovered")
+}
+
+// TestPausesAreNotSlowness replays a server that answers 15 requests a second and pauses for
+// 200 ms every 2.4 s: what it gets then is slow, and the rest is not.
+func TestPausesAreNotSlowness(t *testing.T) {
+	j := locator.NewJudge()
+	for ms := 0; ms < 24_000; ms += 66 {
+		slow := 0
+		if ms%2400 < 200 {
+			slow = 1
+		}
+		now := at(time.Duration(ms) * time.Millisecond)
+		j.Observe(now, see(1, slow))
+		assert.Equal(t, len(j.Verdicts(now)), 0, "after %d ms", ms)
+	}
+}
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -162,6 +162,10 @@
 	linker.Handle(mux, encoder.KindConfirm, func(ctx context.Context, _ linker.Peer, _ encoder.ConfirmRequest) (encoder.ConfirmReply, error) {
 		return k.confirm(ctx), nil
 	})
+	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
+		k.broadcaster.Observe(n.Observations)
+		return struct{}{}, nil
+	})
 	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
 		k.broadcaster.Depart(r)
 		return encoder.DepartReply{}, nil
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -39,6 +39,10 @@
 	budgets  map[identifier.ServiceName]*budget
 	limits   BudgetLimits
 	docks    int
+	// verdicts are the servers that most docks find slow.
+	verdicts map[encoder.ServerID]float64
+	// observations are what was seen since they were taken last.
+	observations map[encoder.ServerID]*encoder.Observation
 }
 
 // New returns a Selector for a host in a failure domain.
@@ -51,6 +55,8 @@
 		budgets:  map[identifier.ServiceName]*budget{},
 		limits:   limits,
 		docks:    1,
+
+		observations: map[encoder.ServerID]*encoder.Observation{},
 	}
 }
 
@@ -115,7 +121,7 @@
 		if contains(excluded, v.info.ID) {
 			continue
 		}
-		score := v.score(now) * (1 + jitter*s.random.Float64())
+		score := v.score(now, s.verdicts[v.info.ID]) * (1 + jitter*s.random.Float64())
 		if v.info.Domain == s.domain {
 			score *= nearFactor
 		}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -58,11 +58,12 @@
 	usual   time.Duration
 }
 
-// score is the expected latency of a further request in multiples of the usual.
-func (v *server) score(now time.Time) float64 {
+// score is the expected latency of a further request in multiples of the usual. Verdict is
+// what all docks together found, or zero.
+func (v *server) score(now time.Time, verdict float64) float64 {
 	weight := fade(now.Sub(v.observed), forgetTime)
 	slowness := 1 + (v.currentSlowness()-1)*weight
-	score := max(0.2, slowness) * (1 + failureFactor*v.failures*weight)
+	score := max(0.2, slowness, verdict) * (1 + failureFactor*v.failures*weight)
 	queue := float64(len(v.flights))/float64(v.slots()) + v.queued*fade(now.Sub(v.reportedAt), loadTime)
 	score *= 1 + queue
 	score += v.stall(now)
@@ -146,6 +147,10 @@
 	if v == nil {
 		return elapsed
 	}
+	isFull := load != nil && load.Waiting >= load.Slots
+	if !isFailure || !isFull {
+		s.record(f, elapsed, isFailure)
+	}
 	v.blocks = 0
 	v.blockedUntil = time.Time{}
 	v.observe(now, isFailure)
@@ -171,6 +176,7 @@
 	if v == nil {
 		return
 	}
+	s.record(f, now.Sub(f.started), true)
 	v.observe(now, true)
 	if isUnreachable {
 		pause := min(longestBlock, firstBlock<<min(v.blocks, 10))
@@ -189,6 +195,9 @@
 		return
 	}
 	ratio := float64(now.Sub(f.started)) / float64(f.usual)
+	if ratio >= slowRatio {
+		s.record(f, now.Sub(f.started), false)
+	}
 	if ratio > v.currentSlowness() {
 		v.slowness = v.currentSlowness() + slownessGain*(ratio-v.currentSlowness())
 		v.observe(now, false)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -34,6 +34,8 @@
 	// refreshInterval is how often the servers are worked out anew without news, since some
 	// reports count less when they age.
 	refreshInterval = 500 * time.Millisecond
+	// observeInterval is how often observations go to the leader.
+	observeInterval = 250 * time.Millisecond
 )
 
 // Compile reads a configuration's text.
@@ -44,6 +46,10 @@
 	Configure(t *matcher.Table)
 	UpdateServers(services map[identifier.ServiceName][]locator.Server)
 	SetDocks(n int)
+	// TakeObservations returns what was seen of the servers since the last call.
+	TakeObservations() []encoder.Observation
+	// SetVerdicts replaces the servers that most docks find slow.
+	SetVerdicts(verdicts []encoder.Verdict)
 }
 
 // Watcher watches the keepers. It is safe for concurrent use.
@@ -68,7 +74,10 @@
 	catalog       *locator.Catalog
 	configuration uint64
 	membersDigest uint64
-	voters        int
+	// verdictsDigest and leader are those of the leader that was heard last.
+	verdictsDigest uint64
+	leader         netip.AddrPort
+	voters         int
 }
 
 // keeper is the watch of one keeper.
@@ -105,8 +114,9 @@
 		catalog: locator.NewCatalog(),
 	}
 	w.SetSeeds(seeds)
-	w.tasks.Add(1)
+	w.tasks.Add(2)
 	go w.loop()
+	go (&observer{w}).loop()
 	return w
 }
 
@@ -206,11 +216,12 @@
 	defer cancel()
 	w.mutex.Lock()
 	request := encoder.WatchRequest{
-		Keeper:        k.process,
-		Seen:          k.seen,
-		Configuration: w.configuration,
-		MembersDigest: w.membersDigest,
-		Wait:          watchWait,
+		Keeper:         k.process,
+		Seen:           k.seen,
+		Configuration:  w.configuration,
+		MembersDigest:  w.membersDigest,
+		VerdictsDigest: w.verdictsDigest,
+		Wait:           watchWait,
 	}
 	w.mutex.Unlock()
 	return linker.Call[encoder.WatchRequest, encoder.WatchReply](ctx, w.pool.Link(k.address), encoder.KindWatch, request)
@@ -258,6 +269,13 @@
 	if len(reply.Members) > 0 && (reply.IsLeader || w.membersDigest == 0) {
 		w.follow(reply)
 	}
+	if reply.IsLeader {
+		w.leader = k.address
+	}
+	if reply.IsLeader && reply.VerdictsDigest != w.verdictsDigest {
+		w.verdictsDigest = reply.VerdictsDigest
+		w.sink.SetVerdicts(reply.Verdicts)
+	}
 	if reply.IsWhole || len(reply.Servers) > 0 {
 		w.publish()
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -53,6 +53,10 @@
 		k.fetches++
 		return encoder.ManifestText{Number: k.number, Text: fmt.Append(nil, k.number)}, nil
 	})
+	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
+		k.broadcaster.Observe(n.Observations)
+		return struct{}{}, nil
+	})
 	var err error
 	k.server, err = linker.Listen(netip.MustParseAddrPort(address), linker.Self{Host: "keeper", Incarnation: incarnation}, mux, clock)
 	assert.NilError(t, err)
@@ -102,6 +106,9 @@
 	numbers []uint64
 	servers map[identifier.ServiceName][]locator.Server
 	docks   int
+	// seen are the observations that the watcher takes next.
+	seen     []encoder.Observation
+	verdicts []encoder.Verdict
 }
 
 func (d *dock) Configure(table *matcher.Table) {
@@ -122,6 +129,20 @@
 	d.docks = n
 }
 
+func (d *dock) TakeObservations() []encoder.Observation {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	seen := d.seen
+	d.seen = nil
+	return seen
+}
+
+func (d *dock) SetVerdicts(verdicts []encoder.Verdict) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.verdicts = verdicts
+}
+
 // compile reads a configuration that consists of its number.
 func compile(text []byte) (*matcher.Table, error) {
 	c := matcher.Configuration{}
@@ -258,3 +279,25 @@
 	k.broadcaster.Beat(beat(3, encoder.PresenceReady, 1))
 	d.waitFor(2)
 }
+
+// TestDocksLearnOfSlowServersFromEachOther has two docks see too little each.
+func TestDocksLearnOfSlowServersFromEachOther(t *testing.T) {
+	k := startKeeper(t, anyPort, 1, t.TempDir())
+	defer k.close()
+	one, two, three := startDock(t, k), startDock(t, k), startDock(t, k)
+	defer one.close()
+	defer two.close()
+	defer three.close()
+	k.broadcaster.Beat(beat(1, encoder.PresenceReady, 1))
+	one.waitFor(1)
+	two.waitFor(1)
+	three.waitFor(1)
+	few := []encoder.Observation{{Server: "1", Count: 5, Slow: 5, Ratio: 40}}
+	for _, d := range []*dock{one, two} {
+		d.mutex.Lock()
+		d.seen = few
+		d.mutex.Unlock()
+	}
+	three.wait("the verdict", func() bool { return len(three.verdicts) == 1 && three.verdicts[0].Ratio == 8 })
+	three.wait("its end", func() bool { return len(three.verdicts) == 0 })
+}
