Fewer wake-ups of docks without work

Cause: a dock without traffic woke 62 times a second, and on the grown sites the wake-ups of 102 docks are most of the processor time.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -88,6 +88,7 @@
 	}
 	r.ending = a.judge(&reply, err)
 	a.learn(now, flight, r)
+	f.observed()
 	select {
 	case q.results <- r:
 	case <-q.finished:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,9 @@
 	closing chan struct{}
 	tasks   sync.WaitGroup
 
+	// observed is called when there are new observations of servers.
+	observed func()
+
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
 
@@ -91,6 +94,7 @@
 		sender:    s,
 		started:   clock.Now(),
 		work:      make(chan *attempt),
+		observed:  func() {},
 		closing:   make(chan struct{}),
 		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
@@ -100,6 +104,10 @@
 	}
 }
 
+// OnObserved calls a function when there are new observations of servers. It must return at
+// once, and is set before the first request.
+func (f *Forwarder) OnObserved(observed func()) { f.observed = observed }
+
 // Configure puts a configuration in force unless a higher one is.
 func (f *Forwarder) Configure(t *matcher.Table) {
 	f.mutex.Lock()
--- a/internal/launcher/reloader.go
+++ b/internal/launcher/reloader.go
@@ -11,7 +11,7 @@
 
 // reloadInterval is how often the settings file is looked at, since it may change without a
 // signal.
-const reloadInterval = 2 * time.Second
+const reloadInterval = 5 * time.Second
 
 // reloader reads the settings file again after SIGHUP and when the file has changed.
 type reloader[S Settings] struct {
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -21,8 +21,10 @@
 	burstBytes = 256 << 10
 	// ordinaryReserve is what ordinary lines leave of burstBytes for failures.
 	ordinaryReserve = 128 << 10
+	// closeTime bounds how long Close waits for a reader.
+	closeTime = time.Second
 	// reportInterval is how often dropped lines are reported.
-	reportInterval = time.Second
+	reportInterval = 10 * time.Second
 )
 
 // Writer passes log lines on in a goroutine of its own. Write never blocks. It is safe for
@@ -95,7 +97,7 @@
 // Close passes on what is queued, as long as the reader takes it, and stops.
 func (w *Writer) Close() error {
 	w.stopOnce.Do(func() { close(w.stop) })
-	timer := w.clock.NewTimer(reportInterval)
+	timer := w.clock.NewTimer(closeTime)
 	defer timer.Stop()
 	select {
 	case <-w.stopped:
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -93,6 +93,7 @@
 		Seed:   uint64(p.Incarnation),
 	}, d.sender, p.Clock, p.Log, p.Metrics)
 	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, wire.Compile, d.forwarder, p.Clock, p.Log)
+	d.forwarder.OnObserved(d.watcher.ObserveSoon)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
 	p.Metrics.Computed("configuration_number", measurer.Count, "Number of the configuration in force.", d.number)
--- a/internal/watcher/observer.go
+++ b/internal/watcher/observer.go
@@ -12,16 +12,29 @@
 	*Watcher
 }
 
-// loop sends observations at intervals.
+// ObserveSoon has the sink's observations sent after a short while, in which others join them.
+func (w *Watcher) ObserveSoon() {
+	select {
+	case w.observed <- struct{}{}:
+	default:
+	}
+}
+
+// loop sends observations a while after there were any. A dock without traffic does nothing.
 func (o *observer) loop() {
 	defer o.tasks.Done()
-	ticker := o.clock.NewTicker(observeInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-o.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-o.observed:
+		}
+		timer := o.clock.NewTimer(observeDelay)
+		select {
+		case <-o.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
 			o.tell()
 		}
 	}
@@ -37,7 +50,7 @@
 	if len(observations) == 0 || !leader.IsValid() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, observeInterval)
+	ctx, cancel := context.WithTimeout(o.ctx, observeDelay)
 	defer cancel()
 	_ = linker.Cast(ctx, o.pool.Link(leader), encoder.KindObserve, encoder.ObserveNotice{Observations: observations})
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -22,20 +22,20 @@
 
 const (
 	// watchWait is how long a keeper without news holds a watch.
-	watchWait = time.Second
+	watchWait = 2 * time.Second
 	// watchTimeout bounds a watch.
-	watchTimeout = 2500 * time.Millisecond
+	watchTimeout = 3 * time.Second
 	// fetchTimeout bounds the transfer of a configuration.
 	fetchTimeout = 2 * time.Second
 	// pauseAfterFailure is the time until the next watch of a keeper that did not answer.
 	pauseAfterFailure = 100 * time.Millisecond
 	// freshness is how long a keeper's answer shows that the dock is in touch with it.
-	freshness = 3 * time.Second
+	freshness = 3500 * time.Millisecond
 	// refreshInterval is how often the servers are worked out anew without news, since some
 	// reports count less when they age.
-	refreshInterval = 500 * time.Millisecond
-	// observeInterval is how often observations go to the leader.
-	observeInterval = 250 * time.Millisecond
+	refreshInterval = time.Second
+	// observeDelay is how long observations are collected before they go to the leader.
+	observeDelay = 250 * time.Millisecond
 )
 
 // Compile reads a configuration's text.
@@ -64,6 +64,9 @@
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 
+	// observed wakes the observer.
+	observed chan struct{}
+
 	// fetching admits one transfer of a configuration at a time.
 	fetching sync.Mutex
 
@@ -112,6 +115,8 @@
 		cancel:  cancel,
 		keepers: map[netip.AddrPort]*keeper{},
 		catalog: locator.NewCatalog(),
+
+		observed: make(chan struct{}, 1),
 	}
 	w.SetSeeds(seeds)
 	w.tasks.Add(2)
