dockctl explain; changed beliefs of servers and keepers in the log

A test of a failed query asked for the end of a request that, now and then, had not left yet when the query failed: its servers now fail after 100 ms, and the check is as it was.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -25,6 +25,7 @@
 	Submit   *submitCommand   `arg:"subcommand:submit" help:"submit a manifest and wait until it is in force everywhere"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show keepers, docks and the manifest in force"`
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show the events of all processes in one order"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 }
 
 // command is one of dockctl's commands.
@@ -80,6 +81,8 @@
 		return a.Status
 	case a.Timeline != nil:
 		return a.Timeline
+	case a.Explain != nil:
+		return a.Explain
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,52 @@
+package explainer_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/explainer"
+)
+
+const dockLog = `{"level":"info","program":"routedock","host":"d1","server":"s1","service":"plates","count":2,"time":"2026-01-01T10:00:00Z","message":"server unreachable"}
+{"level":"info","program":"routedock","host":"d1","server":"s9","service":"tickets","count":2,"time":"2026-01-01T10:00:00Z","message":"server unreachable"}
+{"level":"info","program":"routedock","host":"d1","server":"s2","service":"plates","time":"2026-01-01T09:00:00Z","message":"server gone"}
+   12.3 d1 {"level":"warn","program":"routedock","host":"d1","request":"r7","route":"sweep","configuration":4,"outcome":"failed","reason":"lost","elapsed_ms":52,"timeout_ms":1000,"jobs":[{"service":"plates","denied":"budget","attempts":[{"cause":"first","server":"s1","score":1.5,"seen_ms_ago":70,"at_ms":1,"outcome":"lost","elapsed_ms":50,"detail":"read: EOF"}]}],"time":"2026-01-01T10:00:02Z","message":"request"}
+{"level":"warn","program":"routedock","host":"d1","request":"r8","ro
+not a log line
+`
+
+const keeperLog = `{"level":"info","program":"routekeeper","host":"k1","server":"s1","service":"plates","state":"draining","time":"2026-01-01T10:00:01Z","message":"server departs"}
+`
+
+func read(t *testing.T) *explainer.Log {
+	t.Helper()
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("dock.log", strings.NewReader(dockLog)))
+	assert.NilError(t, l.Add("keeper.log", strings.NewReader(keeperLog)))
+	return l
+}
+
+func TestStoryOfARequest(t *testing.T) {
+	s, err := read(t).Explain("r7")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Equal(t, b.String(), `10:00:00 d1: server unreachable, server s1, service plates, count 2
+10:00:01 k1: server departs, server s1, service plates
+10:00:02 d1: request r7 failed (lost) after 52 of 1000 ms, route sweep of configuration 4
+  plates: no further server was asked (budget)
+    at 1 ms first to s1 (expected 1.5 times the usual latency, last seen 70 ms before): lost after 50 ms, read: EOF
+`)
+}
+
+func TestUnreadableLinesAreCounted(t *testing.T) {
+	l := read(t)
+	_, err := l.Explain("r8")
+	assert.Assert(t, errors.Is(err, explainer.ErrUnknownRequest), "%v", err)
+	var b strings.Builder
+	l.WriteUnreadable(&b)
+	assert.Equal(t, b.String(), "dock.log: 2 lines could not be read\n")
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -88,9 +88,11 @@
 
 // New returns a Forwarder without a configuration.
 func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger, metrics *measurer.Registry) *Forwarder {
+	chooser := selector.New(settings.Domain, settings.Budget, settings.Seed)
+	chooser.OnBelief((&diary{log}).note)
 	return &Forwarder{
 		clock:     clock,
-		selector:  selector.New(settings.Domain, settings.Budget, settings.Seed),
+		selector:  chooser,
 		sender:    s,
 		started:   clock.Now(),
 		work:      make(chan *attempt),
--- a/internal/forwarder/scatter_test.go
+++ b/internal/forwarder/scatter_test.go
@@ -99,7 +99,8 @@
 func TestTooLittleCoverageFailsAtOnce(t *testing.T) {
 	d := newDeployment(t, tight)
 	slow := after(time.Minute, answers(record(0)))
-	d.addShards(5, map[int]handler{0: slow, 1: fails, 2: breaks})
+	// The failures come when the slow server has certainly been asked.
+	d.addShards(5, map[int]handler{0: slow, 1: after(100*time.Millisecond, fails), 2: after(100*time.Millisecond, breaks)})
 	d.route(scatter(5, 5, 0.8, 500*time.Millisecond))
 	began := time.Now()
 	f := expect[forwarder.Failed](t, d.get())
--- a/internal/forwarder/standin_test.go
+++ b/internal/forwarder/standin_test.go
@@ -97,11 +97,17 @@
 	return d.log.Write(b)
 }
 
-// logged returns the log so far.
+// logged returns the log's lines of requests so far.
 func (d *deployment) logged() string {
 	d.logMutex.Lock()
 	defer d.logMutex.Unlock()
-	return d.log.String()
+	lines := ""
+	for line := range strings.Lines(d.log.String()) {
+		if strings.Contains(line, `"message":"request"`) {
+			lines += line
+		}
+	}
+	return lines
 }
 
 func newDeployment(t *testing.T, budget selector.BudgetLimits) *deployment {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -21,8 +21,6 @@
 	EventServerSlow = "server slow"
 	// EventServerRecovered tells that a slow backend server is as fast as the others.
 	EventServerRecovered = "server recovered"
-	// EventServerSilent tells that a backend server missed several heartbeats.
-	EventServerSilent = "server silent"
 	// EventServerDeparts tells that a backend server said that it leaves, or has left.
 	EventServerDeparts = "server departs"
 	// EventDepartureUntold tells that a keeper did not pass a departure on to another one.
@@ -45,6 +43,8 @@
 	EventKeeperRestarts = "keeper restarts"
 	// EventAgreement tells a change in the keepers' agreement.
 	EventAgreement = "agreement"
+	// EventReadinessOff tells that a dock that stops takes no new callers.
+	EventReadinessOff = "readiness off"
 	// EventDirectoryUnread and EventDirectoryUnsaved tell of a keeper's file of the directory.
 	EventDirectoryUnread  = "directory not read"
 	EventDirectoryUnsaved = "directory not saved"
@@ -70,6 +70,7 @@
 	FieldTimeout       = "timeout_ms"
 	FieldRetryAfter    = "retry_after_ms"
 	FieldPause         = "pause"
+	FieldVoters        = "voters"
 	// FieldMissing is the number of shards that an answer leaves out.
 	FieldMissing = "missing"
 	FieldShards  = "shards"
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -19,6 +19,7 @@
 	"banyandock.example/banyandock/internal/launcher"
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/settingsreader"
@@ -162,7 +163,7 @@
 // flight and closes everything.
 func (d *Dock) Close() error {
 	d.isStopping.Store(true)
-	d.process.Log.Info().Dur("grace", d.settings.DrainGrace).Msg("readiness off")
+	d.process.Log.Info().Dur(recorder.FieldPause, d.settings.DrainGrace).Msg(recorder.EventReadinessOff)
 	grace := d.process.Clock.NewTimer(d.settings.DrainGrace)
 	<-grace.C
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.FinishTimeout)
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -32,12 +32,15 @@
 	request := encoder.SubmitRequest{Manifest: encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: text}}
 	for {
 		reply := k.submitOnce(ctx, request)
-		if reply.Outcome != encoder.SubmitNotLeader {
-			return reply
+		if reply.Outcome == encoder.SubmitNotLeader && k.wait(ctx) {
+			continue
 		}
-		if !k.wait(ctx) {
-			return encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: "no leader was reached in time"}
+		if reply.Outcome == encoder.SubmitNotLeader {
+			reply = encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: "no leader was reached in time"}
 		}
+		k.process.Log.Info().Uint64(recorder.FieldConfiguration, number).Stringer(recorder.FieldOutcome, reply.Outcome).
+			Uint64(recorder.FieldBefore, reply.StandingNumber).Str(recorder.FieldDetail, reply.Detail).Msg(recorder.EventSubmitted)
+		return reply
 	}
 }
 
--- /dev/null
+++ b/internal/selector/belief.go
@@ -0,0 +1,79 @@
+package selector
+
+import (
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+)
+
+//go:generate ../../bin/enumer -type BeliefKind -trimprefix Belief -transform snake -output beliefkind_enumer.go
+
+// BeliefKind says what this host came to believe of a server.
+type BeliefKind uint8
+
+// Kinds of beliefs.
+const (
+	// BeliefUnreachable means that connections to the server failed several times in a row.
+	BeliefUnreachable BeliefKind = iota
+	// BeliefReached means that an unreachable server answered.
+	BeliefReached
+	// BeliefTaken means that the server may get requests.
+	BeliefTaken
+	// BeliefDropped means that the server gets no more requests.
+	BeliefDropped
+	// BeliefSlow means that most docks find the server slow.
+	BeliefSlow
+	// BeliefRecovered means that the server is slow no more.
+	BeliefRecovered
+)
+
+// Belief is a change of what this host believes of a server.
+type Belief struct {
+	Kind    BeliefKind
+	Server  encoder.ServerID
+	Service identifier.ServiceName
+	// Ratio is the latency of a slow server in multiples of the usual.
+	Ratio float64
+	// Failures is the number of failures in a row of an unreachable server.
+	Failures int
+}
+
+// OnBelief calls a function at each change of a belief. It must return at once and not call
+// the selector. It is set before the first use.
+func (s *Selector) OnBelief(believe func(Belief)) { s.believe = believe }
+
+// compareServers tells of the servers that came and went. The caller holds the lock.
+func (s *Selector) compareServers(before, after map[encoder.ServerID]*server) {
+	for id, v := range after {
+		if before[id] != v {
+			s.believe(Belief{Kind: BeliefTaken, Server: id, Service: v.info.Service})
+		}
+	}
+	for id, v := range before {
+		if after[id] == nil {
+			s.believe(Belief{Kind: BeliefDropped, Server: id, Service: v.info.Service})
+		}
+	}
+}
+
+// compareVerdicts tells of the servers that became slow or recovered. The caller holds the
+// lock.
+func (s *Selector) compareVerdicts(before, after map[encoder.ServerID]float64) {
+	for id, ratio := range after {
+		if before[id] == 0 {
+			s.believe(Belief{Kind: BeliefSlow, Server: id, Service: s.serviceOf(id), Ratio: ratio})
+		}
+	}
+	for id := range before {
+		if after[id] == 0 {
+			s.believe(Belief{Kind: BeliefRecovered, Server: id, Service: s.serviceOf(id)})
+		}
+	}
+}
+
+// serviceOf returns the service of a server, or nothing for one that is not known.
+func (s *Selector) serviceOf(id encoder.ServerID) identifier.ServiceName {
+	if v := s.servers[id]; v != nil {
+		return v.info.Service
+	}
+	return ""
+}
--- a/internal/selector/observation.go
+++ b/internal/selector/observation.go
@@ -53,8 +53,10 @@
 func (s *Selector) SetVerdicts(verdicts []encoder.Verdict) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.verdicts = make(map[encoder.ServerID]float64, len(verdicts))
+	after := make(map[encoder.ServerID]float64, len(verdicts))
 	for _, v := range verdicts {
-		s.verdicts[v.Server] = v.Ratio
+		after[v.Server] = v.Ratio
 	}
+	s.compareVerdicts(s.verdicts, after)
+	s.verdicts = after
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -31,6 +31,8 @@
 	// Set at creation.
 	domain identifier.DomainName
 	seed   uint64
+	// believe is told of changed beliefs.
+	believe func(Belief)
 
 	// Guarded by mutex.
 	mutex    sync.Mutex
@@ -53,6 +55,7 @@
 	return &Selector{
 		domain:   domain,
 		seed:     seed,
+		believe:  func(Belief) {},
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		servers:  map[encoder.ServerID]*server{},
 		services: map[identifier.ServiceName][]*server{},
@@ -82,6 +85,7 @@
 			s.services[name] = append(s.services[name], v)
 		}
 	}
+	s.compareServers(s.servers, kept)
 	s.servers = kept
 	for name := range s.services {
 		s.settle(name)
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -153,6 +153,9 @@
 	if !isFailure || !isFull {
 		s.record(f, elapsed, isFailure)
 	}
+	if v.blocks >= downBlocks {
+		s.believe(Belief{Kind: BeliefReached, Server: v.info.ID, Service: v.info.Service})
+	}
 	v.blocks = 0
 	v.blockedUntil = time.Time{}
 	v.observe(now, isFailure)
@@ -183,6 +186,9 @@
 	if isUnreachable {
 		pause := min(longestBlock, firstBlock<<min(v.blocks, 10))
 		v.blocks++
+		if v.blocks == downBlocks {
+			s.believe(Belief{Kind: BeliefUnreachable, Server: v.info.ID, Service: v.info.Service, Failures: v.blocks})
+		}
 		v.blockedUntil = now.Add(pause)
 	}
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -81,6 +81,8 @@
 	verdictsDigest uint64
 	leader         netip.AddrPort
 	voters         int
+	// wasFresh is what the log told last.
+	wasFresh bool
 }
 
 // keeper is the watch of one keeper.
@@ -145,6 +147,13 @@
 func (w *Watcher) IsFresh() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	_, isFresh := w.countHeard()
+	return isFresh
+}
+
+// countHeard returns how many voters answered lately, and whether they are a majority. The
+// caller holds the lock.
+func (w *Watcher) countHeard() (int, bool) {
 	now := w.clock.Now()
 	n := 0
 	for _, k := range w.keepers {
@@ -152,7 +161,22 @@
 			n++
 		}
 	}
-	return w.voters > 0 && 2*n > w.voters
+	return n, w.voters > 0 && 2*n > w.voters
+}
+
+// tellFreshness logs that the dock lost or regained touch. The caller holds the lock.
+func (w *Watcher) tellFreshness() {
+	n, isFresh := w.countHeard()
+	if isFresh == w.wasFresh {
+		return
+	}
+	w.wasFresh = isFresh
+	event := recorder.EventNotFresh
+	if isFresh {
+		event = recorder.EventFresh
+	}
+	w.log.Warn().Int(recorder.FieldCount, n).Int(recorder.FieldVoters, w.voters).
+		Uint64(recorder.FieldConfiguration, w.configuration).Msg(event)
 }
 
 // loop works out the servers at intervals.
@@ -166,6 +190,7 @@
 			return
 		case <-ticker.C:
 			w.mutex.Lock()
+			w.tellFreshness()
 			if !w.catalog.IsSettled(w.clock.Now()) {
 				w.publish()
 			}
