--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -63,7 +63,7 @@
 			timer.Reset(workerIdleTime)
 		case <-timer.C:
 			return
-		case <-f.closing:
+		case <-f.ctx.Done():
 			return
 		}
 	}
@@ -76,7 +76,7 @@
 	to := sender.Destination{
 		Address:     a.target.Address,
 		ID:          a.target.ID,
-		Connections: f.connections(q.table, a.job.service),
+		Connections: f.selector.Connections(a.job.service),
 	}
 	began := f.clock.Now()
 	flight := f.selector.Begin(began, a.target.ID, a.usual)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,9 +68,11 @@
 	overshoot overshoot
 	started   time.Time
 	// work hands attempts to workers that wait for one.
-	work    chan *attempt
-	closing chan struct{}
-	tasks   sync.WaitGroup
+	work chan *attempt
+	// ctx ends with the forwarder, and all requests to backend servers with it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 
 	// observed is called when there are new observations of servers.
 	observed func()
@@ -83,26 +85,26 @@
 	latencies map[matcher.RouteName]*selector.Latencies
 	wheels    map[matcher.RouteName]*wheel
 	throttles map[matcher.RouteName]*selector.Throttle
-	docks     int
 }
 
 // New returns a Forwarder without a configuration.
 func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger, metrics *measurer.Registry) *Forwarder {
 	chooser := selector.New(settings.Domain, settings.Budget, settings.Seed)
 	chooser.OnBelief((&diary{log}).note)
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
+		ctx:       ctx,
+		cancel:    cancel,
 		clock:     clock,
 		selector:  chooser,
 		sender:    s,
 		started:   clock.Now(),
 		work:      make(chan *attempt),
 		observed:  func() {},
-		closing:   make(chan struct{}),
 		reporter:  newReporter(log, metrics, clock.Now()),
 		latencies: map[matcher.RouteName]*selector.Latencies{},
 		wheels:    map[matcher.RouteName]*wheel{},
 		throttles: map[matcher.RouteName]*selector.Throttle{},
-		docks:     1,
 	}
 }
 
@@ -139,14 +141,11 @@
 // SetDocks tells how many hosts share the budget of repeats and the servers' connections.
 func (f *Forwarder) SetDocks(n int) {
 	f.selector.SetDocks(n)
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.docks = max(1, n)
 }
 
-// Close waits for all requests to backend servers.
+// Close ends all requests to backend servers and waits for them.
 func (f *Forwarder) Close() {
-	close(f.closing)
+	f.cancel()
 	f.tasks.Wait()
 }
 
@@ -215,25 +214,3 @@
 	}
 	return t.Admit(now, isCongested, isReturn)
 }
-
-// connections is how many connections this host may hold to one server of a service.
-func (f *Forwarder) connections(t *matcher.Table, service identifier.ServiceName) int {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	s, ok := t.Service(service)
-	if !ok || s.Connections <= 0 {
-		return defaultConnections
-	}
-	share := int(connectionShare * float64(s.Connections) / float64(f.docks))
-	return min(maxConnections, max(1, share))
-}
-
-const (
-	// defaultConnections is used for a service whose limit is not configured.
-	defaultConnections = 2
-	// maxConnections bounds the connections to one server whatever it accepts.
-	maxConnections = 32
-	// connectionShare is the part of a server's limit that the hosts split. The rest is for
-	// health checks and for hosts that have just started.
-	connectionShare = 0.85
-)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -181,7 +181,11 @@
 	if isFree {
 		return j.launch(now, CauseRetry, false)
 	}
-	return j.repeat(now, CauseRetry, selector.NeedRetry)
+	need := selector.NeedSpare
+	if j.query.collector.isCritical() {
+		need = selector.NeedRetry
+	}
+	return j.repeat(now, CauseRetry, need)
 }
 
 // finish ends the job.
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -35,8 +35,9 @@
 	// target is when an answer must leave to be in time. It is zero without a target.
 	target time.Time
 
-	// jobs are the requests to the services of the route.
-	jobs []*job
+	// jobs are the requests to the services of the route, and collector makes the outcome.
+	jobs      []*job
+	collector collector
 	// results receives the ends of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -56,6 +57,8 @@
 	ended(r result) Outcome
 	// due returns the outcome that the time brings, or nil and when to look again.
 	due(now time.Time) (Outcome, time.Time)
+	// isCritical tells whether the query fails if one more job does.
+	isCritical() bool
 }
 
 // newQuery starts the time of a request.
@@ -72,7 +75,7 @@
 		remaining := route.LatencyTarget - answerMargin - spentBefore(route, r) - f.overshoot.margin()
 		q.target = r.Arrived.Add(max(route.LatencyTarget/2, remaining))
 	}
-	q.ctx, q.cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	q.ctx, q.cancel = context.WithDeadline(f.ctx, deadline)
 	q.detach = context.AfterFunc(ctx, q.cancel)
 	return q
 }
@@ -131,6 +134,7 @@
 
 // run asks services until the collector has an outcome.
 func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
+	q.collector = c
 	q.start(services)
 	for _, j := range q.jobs {
 		if j.isOver {
@@ -217,6 +221,9 @@
 	}
 }
 
+// isCritical is always true: there is only one job.
+func (p *passing) isCritical() bool { return true }
+
 // due gives up when the time is up.
 func (p *passing) due(now time.Time) (Outcome, time.Time) {
 	giveUp := p.query.giveUpAt()
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -87,6 +87,11 @@
 // host with a small share of a processor are late.
 const targetSlack = 20 * time.Millisecond
 
+// isCritical tells whether one more missing shard is too many.
+func (g *gathering) isCritical() bool {
+	return !g.isEnough(len(g.destination.Services) - g.failed - 1)
+}
+
 // pending is the number of shards without a result.
 func (g *gathering) pending() int {
 	return len(g.destination.Services) - len(g.stamps) - g.failed
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -18,7 +18,9 @@
 	"banyandock.example/banyandock/internal/forwarder"
 	"banyandock.example/banyandock/internal/launcher"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/packer"
 	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
@@ -93,7 +95,7 @@
 		Budget: selector.BudgetLimits{Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack},
 		Seed:   uint64(p.Incarnation),
 	}, d.sender, p.Clock, p.Log, p.Metrics)
-	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, wire.Compile, d.forwarder, p.Clock, p.Log)
+	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, compile(wire.Compile), d.forwarder, p.Clock, p.Log)
 	d.forwarder.OnObserved(d.watcher.ObserveSoon)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
@@ -107,6 +109,17 @@
 	return d, nil
 }
 
+// compile unpacks a configuration before it is read.
+func compile(read watcher.Compile) watcher.Compile {
+	return func(packed []byte) (*matcher.Table, error) {
+		text, err := packer.Unpack(packed)
+		if err != nil {
+			return nil, err
+		}
+		return read(text)
+	}
+}
+
 // abandon closes what was started and returns the error that stopped the start.
 func (d *Dock) abandon(err error) error {
 	for _, s := range d.servers {
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -9,6 +9,7 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/packer"
 	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/replicator"
 )
@@ -28,8 +29,12 @@
 func (k *Keeper) Submit(ctx context.Context, number uint64, text []byte) encoder.SubmitReply {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	sum := sha256.Sum256(text)
-	request := encoder.SubmitRequest{Manifest: encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: text}}
+	packed, err := packer.Pack(text)
+	if err != nil {
+		return encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: err.Error()}
+	}
+	sum := sha256.Sum256(packed)
+	request := encoder.SubmitRequest{Manifest: encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: packed}}
 	for {
 		reply := k.submitOnce(ctx, request)
 		if reply.Outcome == encoder.SubmitNotLeader && k.wait(ctx) {
@@ -59,21 +64,34 @@
 	return remote
 }
 
-// Newest returns the newest committed configuration, as a quorum confirms it. It returns
-// false if that is not known in time.
-func (k *Keeper) Newest(ctx context.Context) (encoder.ManifestText, bool) {
+// Newest returns the text of the newest committed configuration, as a quorum confirms it. It
+// returns false if that is not known in time, or there is none.
+func (k *Keeper) Newest(ctx context.Context) ([]byte, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	for {
 		if reply := k.confirmAnywhere(ctx); reply.IsConfirmed {
-			return reply.Manifest, true
+			return k.unpack(reply.Manifest)
 		}
 		if !k.wait(ctx) {
-			return encoder.ManifestText{}, false
+			return nil, false
 		}
 	}
 }
 
+// unpack returns the text of a committed configuration. It returns false if there is none.
+func (k *Keeper) unpack(m encoder.ManifestText) ([]byte, bool) {
+	if m.Number == 0 {
+		return nil, false
+	}
+	text, err := packer.Unpack(m.Text)
+	if err != nil {
+		k.process.Log.Error().Err(err).Uint64(recorder.FieldConfiguration, m.Number).Msg(recorder.EventConfigurationFailed)
+		return nil, false
+	}
+	return text, true
+}
+
 // confirmAnywhere asks the leader for the newest configuration.
 func (k *Keeper) confirmAnywhere(ctx context.Context) encoder.ConfirmReply {
 	s := k.replicator.Status()
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -24,6 +24,7 @@
 	"banyandock.example/banyandock/internal/keeperrunner"
 	"banyandock.example/banyandock/internal/launcher"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/packer"
 	"banyandock.example/banyandock/internal/registrar"
 	"banyandock.example/banyandock/internal/replicator"
 	"banyandock.example/banyandock/internal/settingsreader"
@@ -91,7 +92,7 @@
 	}
 	silence := time.Duration(silentHeartbeats * float64(settings.HeartbeatInterval))
 	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.standing, broadcaster.NewShelf(settings.DataFolder), p.Clock, p.Log)
-	k.governor = governor.New(keeperrunner.Agreement{Replicator: k.replicator}, k.state, wire.Number, p.Clock, governor.WithInvariants(invariants))
+	k.governor = governor.New(keeperrunner.Agreement{Replicator: k.replicator}, k.state, k.number, p.Clock, governor.WithInvariants(invariants))
 	var err error
 	if k.links, err = linker.Listen(settings.LinkAddress, p.Self(), k.mux(), p.Clock); err != nil {
 		return nil, k.abandon(err)
@@ -102,6 +103,15 @@
 	return k, nil
 }
 
+// number returns the number of a valid packed configuration.
+func (k *Keeper) number(packed []byte) (uint64, error) {
+	text, err := packer.Unpack(packed)
+	if err != nil {
+		return 0, err
+	}
+	return k.wire.Number(text)
+}
+
 // openReplicator joins or forms the group.
 func (k *Keeper) openReplicator(invariants checker.Hook) error {
 	folder := memberFolder(k.settings)
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -16,6 +16,9 @@
 	// requests that failed, and earlyReserve what an early hedge leaves for late ones.
 	lateReserve  = 0.25
 	earlyReserve = 0.6
+	// spareReserve is what another try of a dispensable part leaves for those that decide on an
+	// answer.
+	spareReserve = 0.5
 )
 
 // Need says how badly a repeat is needed.
@@ -27,7 +30,9 @@
 	NeedEarly Need = iota
 	// NeedLate is a hedge at the last moment at which it is of use.
 	NeedLate
-	// NeedRetry is another try of a request that failed.
+	// NeedSpare is another try of a part without which there is still an answer.
+	NeedSpare
+	// NeedRetry is another try of a request that fails otherwise.
 	NeedRetry
 )
 
@@ -92,6 +97,8 @@
 		return earlyReserve * spare
 	case NeedLate:
 		return lateReserve * spare
+	case NeedSpare:
+		return spareReserve * spare
 	default:
 		return 0
 	}
--- a/internal/selector/home.go
+++ b/internal/selector/home.go
@@ -13,8 +13,13 @@
 const (
 	// awayFactor is what a server scores more that this host holds no connections to by plan.
 	awayFactor = 1.4
-	// connectionShare is the part of a server's connections that hosts plan to hold.
+	// connectionShare is the part of a server's connections that hosts plan to hold. The rest is
+	// for health checks and for hosts that have just started.
 	connectionShare = 0.85
+	// unknownConnections is used for a service whose limit is not configured.
+	unknownConnections = 2
+	// mostConnections bounds the connections to one server whatever it accepts.
+	mostConnections = 32
 )
 
 // SetConnections tells how many connections each server of a service accepts from all hosts.
@@ -25,6 +30,18 @@
 	s.settle(service)
 }
 
+// Connections returns how many connections this host may hold to one server of a service.
+func (s *Selector) Connections(service identifier.ServiceName) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	accepted := s.connections[service]
+	if accepted <= 0 {
+		return unknownConnections
+	}
+	share := int(connectionShare * float64(accepted) / float64(s.docks))
+	return min(mostConnections, max(1, share))
+}
+
 // settle chooses the servers of a service that this host holds connections to. If a server
 // cannot accept one from every host, each host keeps to some of the servers, which it draws by
 // hash, and goes to the others only if they are much better. The caller holds the lock.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -18,7 +18,7 @@
 const (
 	// nearFactor is what a server in this host's failure domain scores less: its bytes cross
 	// no domain.
-	nearFactor = 0.85
+	nearFactor = 0.7
 	// jitter spreads equal scores, so that hosts do not all choose the same server.
 	jitter = 0.15
 	// blockedFactor and silentFactor put servers behind all others.
