--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -28,6 +28,9 @@
 	maxWait = 5 * time.Second
 	// saveInterval is how often a directory that has changed is saved.
 	saveInterval = time.Second
+	// batchTime is how long changes of the directory are collected before a dock hears of them.
+	// While an index is cut anew, hundreds of servers announce themselves in a second.
+	batchTime = 100 * time.Millisecond
 	// dockTime is how long a dock counts after its last watch.
 	dockTime = 5 * time.Second
 )
@@ -66,8 +69,7 @@
 	changes []encoder.Registration
 	base    uint64
 	docks   map[identifier.HostName]time.Time
-	// changed is closed and replaced at each change.
-	changed chan struct{}
+	waking  wakes
 	// saved is the number of the last change that is on the shelf.
 	saved uint64
 }
@@ -85,7 +87,7 @@
 		book:     locator.NewBook(silence),
 		judge:    locator.NewJudge(),
 		docks:    map[identifier.HostName]time.Time{},
-		changed:  make(chan struct{}),
+		waking:   wakes{changed: make(chan struct{}), urgent: make(chan struct{})},
 	}
 	b.restore()
 	b.tasks.Add(2)
@@ -194,7 +196,7 @@
 		return
 	}
 	b.verdicts, b.verdictsDigest = verdicts, digest
-	b.wake()
+	b.wakeAll()
 }
 
 // verdictsDigest identifies a list of verdicts. It is zero for an empty one.
@@ -215,7 +217,7 @@
 func (b *Broadcaster) Notify() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.wake()
+	b.wakeAll()
 }
 
 // update changes the book and wakes the docks.
@@ -235,22 +237,39 @@
 	return changed
 }
 
-// wake lets all watches look again. The caller holds the lock.
+// wake lets the watches look again that wait for changes of the directory. The caller holds
+// the lock.
 func (b *Broadcaster) wake() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+	close(b.waking.changed)
+	b.waking.changed = make(chan struct{})
+}
+
+// wakeAll lets all watches look again. The caller holds the lock.
+func (b *Broadcaster) wakeAll() {
+	b.wake()
+	close(b.waking.urgent)
+	b.waking.urgent = make(chan struct{})
 }
 
-// Watch answers a dock as soon as there is news for it, or when its time is up.
+// Watch answers a dock as soon as there is news for it, or when its time is up. Changes of the
+// directory alone wait a moment for others to join them.
 func (b *Broadcaster) Watch(ctx context.Context, dock identifier.HostName, request encoder.WatchRequest) encoder.WatchReply {
 	timer := b.clock.NewTimer(min(request.Wait, maxWait))
 	defer timer.Stop()
-	isDue := false
+	isDue, isBatching := false, false
 	for {
-		reply, hasNews, changed := b.look(dock, request)
-		if hasNews || isDue {
+		reply, news, wakes := b.look(dock, request)
+		if isDue || news == newsUrgent {
 			return reply
 		}
+		if news == newsDirectory && !isBatching {
+			isBatching = true
+			timer.Reset(batchTime)
+		}
+		changed := wakes.changed
+		if isBatching {
+			changed = wakes.urgent
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -263,12 +282,30 @@
 	}
 }
 
-// look returns what is new for a dock, and the channel to wait on if nothing is.
-func (b *Broadcaster) look(dock identifier.HostName, request encoder.WatchRequest) (encoder.WatchReply, bool, <-chan struct{}) {
+// news says what there is to tell a dock.
+type news uint8
+
+const (
+	newsNone news = iota
+	// newsDirectory are changed registrations.
+	newsDirectory
+	// newsUrgent is what a dock must hear at once.
+	newsUrgent
+)
+
+// wakes are closed and replaced at each change.
+type wakes struct {
+	// changed is closed at every change, urgent at those that docks must hear of at once.
+	changed chan struct{}
+	urgent  chan struct{}
+}
+
+// look returns what is new for a dock, and the channels to wait on.
+func (b *Broadcaster) look(dock identifier.HostName, request encoder.WatchRequest) (encoder.WatchReply, news, wakes) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	// The channel is taken before the standing, so that a change in between is noticed.
-	changed := b.changed
+	// The channels are taken before the standing, so that a change in between is noticed.
+	waking := b.waking
 	s := b.standing()
 	now := b.clock.Now()
 	b.docks[dock] = now
@@ -295,9 +332,16 @@
 	} else {
 		reply.Servers = b.changes[request.Seen-b.base:]
 	}
-	hasNews := reply.IsWhole || len(reply.Servers) > 0 || s.Configuration > request.Configuration ||
+	isUrgent := reply.IsWhole || s.Configuration > request.Configuration ||
 		s.IsLeader && (s.MembersDigest != request.MembersDigest || b.verdictsDigest != request.VerdictsDigest)
-	return reply, hasNews, changed
+	switch {
+	case isUrgent:
+		return reply, newsUrgent, waking
+	case len(reply.Servers) > 0:
+		return reply, newsDirectory, waking
+	default:
+		return reply, newsNone, waking
+	}
 }
 
 // countDocks returns how many docks watch this keeper. The caller holds the lock.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	kept := map[encoder.ServerID]*server{}
+	before := s.services
 	s.services = make(map[identifier.ServiceName][]*server, len(services))
 	for name, list := range services {
 		for _, info := range list {
@@ -87,8 +89,10 @@
 	}
 	s.compareServers(s.servers, kept)
 	s.servers = kept
-	for name := range s.services {
-		s.settle(name)
+	for name, list := range s.services {
+		if !slices.Equal(list, before[name]) {
+			s.settle(name)
+		}
 	}
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -34,6 +34,8 @@
 	// refreshInterval is how often the servers are worked out anew without news, since some
 	// reports count less when they age.
 	refreshInterval = time.Second
+	// publishInterval is the least time between two times at which the servers are worked out.
+	publishInterval = 100 * time.Millisecond
 	// observeDelay is how long observations are collected before they go to the leader.
 	observeDelay = 250 * time.Millisecond
 )
@@ -64,6 +66,8 @@
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 
+	// dirty tells the loop that servers have changed.
+	dirty chan struct{}
 	// observed wakes the observer.
 	observed chan struct{}
 
@@ -81,6 +85,10 @@
 	verdictsDigest uint64
 	leader         netip.AddrPort
 	voters         int
+	// published is when the servers were worked out last, and isPublishing is set while they
+	// are about to be.
+	published    time.Time
+	isPublishing bool
 	// wasFresh is what the log told last.
 	wasFresh bool
 }
@@ -118,6 +126,7 @@
 		keepers: map[netip.AddrPort]*keeper{},
 		catalog: locator.NewCatalog(),
 
+		dirty:    make(chan struct{}, 1),
 		observed: make(chan struct{}, 1),
 	}
 	w.SetSeeds(seeds)
@@ -188,6 +197,8 @@
 		select {
 		case <-w.ctx.Done():
 			return
+		case <-w.dirty:
+			w.settle()
 		case <-ticker.C:
 			w.mutex.Lock()
 			w.tellFreshness()
@@ -199,8 +210,40 @@
 	}
 }
 
+// settle waits for other changes to join the last one and works the servers out.
+func (w *Watcher) settle() {
+	timer := w.clock.NewTimer(publishInterval)
+	defer timer.Stop()
+	select {
+	case <-w.ctx.Done():
+	case <-timer.C:
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.publish()
+	}
+}
+
+// publishSoon has the servers worked out within a moment, in which other keepers' replies join
+// this one. The first ones are not delayed. The caller holds the lock.
+func (w *Watcher) publishSoon() {
+	if w.isPublishing {
+		return
+	}
+	if w.clock.Now().Sub(w.published) >= publishInterval {
+		w.publish()
+		return
+	}
+	w.isPublishing = true
+	select {
+	case w.dirty <- struct{}{}:
+	default:
+	}
+}
+
 // publish tells the sink which servers there are. The caller holds the lock.
 func (w *Watcher) publish() {
+	w.published = w.clock.Now()
+	w.isPublishing = false
 	w.sink.UpdateServers(w.catalog.Servers(w.clock.Now()))
 	docks := 1
 	for _, k := range w.keepers {
@@ -307,7 +350,7 @@
 		w.sink.SetVerdicts(reply.Verdicts)
 	}
 	if reply.IsWhole || len(reply.Servers) > 0 {
-		w.publish()
+		w.publishSoon()
 	}
 }
 
