--- a/internal/locator/judge.go
+++ b/internal/locator/judge.go
@@ -19,6 +19,9 @@
 	// below which it is slow no more.
 	slowShare  = 0.5
 	clearShare = 0.3
+	// mostSlow is the share of servers that may be slow. If more seem so, it is the load that
+	// makes them late, or the docks, and no server is to be avoided for it.
+	mostSlow = 0.6
 	// ratioStep rounds ratios, so that small changes are not told.
 	ratioStep = 2
 	// forgottenEvidence is the weight below which nothing is known of a server.
@@ -84,6 +87,9 @@
 			verdicts = append(verdicts, encoder.Verdict{Server: id, Ratio: ratio})
 		}
 	}
+	if float64(len(verdicts)) > mostSlow*float64(len(j.evidence)) {
+		return nil
+	}
 	slices.SortFunc(verdicts, func(a, b encoder.Verdict) int { return cmp.Compare(a.Server, b.Server) })
 	return verdicts
 }
--- a/internal/selector/quantile.go
+++ b/internal/selector/quantile.go
@@ -8,6 +8,8 @@
 const (
 	// quantileStep is the relative change of an estimate by one observation.
 	quantileStep = 0.04
+	// firstSteps divided by the number of observations is the step of the first ones.
+	firstSteps = 2.0
 	// smallestEstimate keeps estimates positive.
 	smallestEstimate = 100 * time.Microsecond
 )
@@ -38,8 +40,11 @@
 		l.median, l.high = d, 2*d
 		return
 	}
-	l.median = moved(l.median, d, 0.5)
-	l.high = max(l.median, moved(l.high, d, l.share))
+	// The first observations count for more: a host that has just started must not take its very
+	// first one for the usual.
+	step := max(quantileStep, min(1, firstSteps/float64(l.count)))
+	l.median = moved(l.median, d, 0.5, step)
+	l.high = max(l.median, moved(l.high, d, l.share, step))
 }
 
 // Median returns the median, or zero before the first observation.
@@ -58,8 +63,8 @@
 
 // moved steps an estimate of a quantile towards an observation, up by the share of
 // observations that should lie below and down by the rest, so that it rests at the quantile.
-func moved(estimate, observation time.Duration, share float64) time.Duration {
-	step := quantileStep * float64(estimate)
+func moved(estimate, observation time.Duration, share, relativeStep float64) time.Duration {
+	step := relativeStep * float64(estimate)
 	if observation > estimate {
 		estimate += time.Duration(step * share)
 	} else {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -242,3 +242,13 @@
 	near(l.Median(), 40, 60)
 	near(l.High(), 80, 100)
 }
+
+// TestFirstObservationIsNotTheUsual starts with one that is a tenth of the others.
+func TestFirstObservationIsNotTheUsual(t *testing.T) {
+	l := selector.NewLatencies(0.9)
+	l.Observe(2 * time.Millisecond)
+	for range 12 {
+		l.Observe(20 * time.Millisecond)
+	}
+	assert.Assert(t, l.Median() > 10*time.Millisecond, "%v", l.Median())
+}
