A shard that docks refuse while ownership moves is sent again after a pause, not given up

The root sent it three times within milliseconds and gave it up: 'failed coverage, missing [{2 owner} {4 abandoned}]'. Nothing had run. Refusals for want of ownership now count apart and wait 20 ms from the second one on, until the deadline.

--- a/internal/router/gathering.go
+++ b/internal/router/gathering.go
@@ -15,6 +15,11 @@
 	stallCheckInterval = 20 * time.Millisecond
 	// maxSendsPerShard bounds the batches that carry one shard within a plan.
 	maxSendsPerShard = 3
+	// maxRefusals bounds the batches that docks refused for want of ownership, which count
+	// apart: while ownership moves, two docks may each name the other for some time.
+	maxRefusals = 20
+	// refusalPause is the time until a shard is sent again that was refused more than once.
+	refusalPause = 20 * time.Millisecond
 )
 
 // shardProgress is the state of one shard of a gathering.
@@ -22,6 +27,10 @@
 	isCovered   bool
 	outstanding int
 	sends       int
+	// refusals are the sends that were refused for want of ownership. After the first one the
+	// shard waits until resendAt.
+	refusals int
+	resendAt time.Time
 	// missing is why the last batch has no result. It counts once outstanding is zero.
 	missing encoder.MissingShard
 	// mayHaveRun tells whether any batch of the shard may have run.
@@ -63,8 +72,8 @@
 		progress:  make([]shardProgress, c.ShardCount),
 		open:      len(shards),
 		calls:     map[uint32]*batchCall{},
-		replies:   make(chan batchResult, len(shards)*maxSendsPerShard),
-		stalls:    make(chan *batchCall, len(shards)*maxSendsPerShard),
+		replies:   make(chan batchResult, len(shards)*(maxSendsPerShard+maxRefusals)),
+		stalls:    make(chan *batchCall, len(shards)*(maxSendsPerShard+maxRefusals)),
 	}
 	for _, n := range shards {
 		p := &g.progress[n]
@@ -96,6 +105,7 @@
 			g.bypass(ctx, c)
 		case <-ticker.C:
 			g.probeSlow(ctx)
+			g.sendRefused(ctx)
 		case <-ctx.Done():
 			g.expire(encoder.MissingDeadline)
 			return
@@ -178,6 +188,9 @@
 	for _, m := range r.reply.Missing {
 		g.acceptMissing(m)
 		g.noteCrash(m)
+		if m.Reason == encoder.MissingOwner && !m.Started {
+			g.acceptRefusal(m)
+		}
 	}
 	g.resend(ctx, r.call.batch.Shards)
 }
@@ -260,6 +273,16 @@
 	p.mayHaveRun = p.mayHaveRun || m.Started
 }
 
+// acceptRefusal notes that a dock refused a shard for want of ownership. Nothing was run, so it
+// does not count as a send.
+func (g *gathering) acceptRefusal(m encoder.MissingShard) {
+	p := &g.progress[m.Shard]
+	if p.refusals < maxRefusals {
+		p.refusals++
+		p.sends--
+	}
+}
+
 // acceptLoss notes that a batch was not delivered or its reply was lost.
 func (g *gathering) acceptLoss(ctx context.Context, r batchResult) {
 	started := !r.isNotSent()
@@ -282,19 +305,41 @@
 		if p.isCovered || p.outstanding > 0 {
 			continue
 		}
-		if g.canResend(p) {
+		switch {
+		case !g.canResend(p):
+			g.giveUp(n, p.missing)
+		case p.refusals > 1:
+			p.resendAt = g.run.router.clock.Now().Add(refusalPause)
+		default:
+			again = append(again, n)
+		}
+	}
+	g.sendAgain(ctx, again)
+}
+
+// sendRefused sends shards again that were refused for want of ownership and have waited.
+func (g *gathering) sendRefused(ctx context.Context) {
+	now := g.run.router.clock.Now()
+	var again []identifier.ShardNumber
+	for _, n := range g.shards {
+		p := &g.progress[n]
+		if !p.resendAt.IsZero() && !now.Before(p.resendAt) && !p.isCovered && p.outstanding == 0 {
+			p.resendAt = time.Time{}
 			again = append(again, n)
-			continue
 		}
-		g.giveUp(n, p.missing)
 	}
-	if len(again) == 0 {
+	g.sendAgain(ctx, again)
+}
+
+// sendAgain sends shards to the docks that own them now.
+func (g *gathering) sendAgain(ctx context.Context, shards []identifier.ShardNumber) {
+	if len(shards) == 0 {
 		return
 	}
-	g.run.router.meters.resends.Inc(int64(len(again)))
+	g.run.router.meters.resends.Inc(int64(len(shards)))
 	// The owner may have refused because ownership moved: the newest view says where to.
 	g.snapshot = g.run.router.control.Snapshot()
-	g.send(ctx, again, g.ownerNamed)
+	g.send(ctx, shards, g.ownerNamed)
 }
 
 // canResend tells whether a shard may go to another dock.
