--- a/internal/router/gathering.go
+++ b/internal/router/gathering.go
@@ -16,10 +16,16 @@
 	// maxSendsPerShard bounds the batches that carry one shard within a plan.
 	maxSendsPerShard = 3
 	// maxRefusals bounds the batches that docks refused for want of ownership, which count
-	// apart: while ownership moves, two docks may each name the other for some time.
-	maxRefusals = 20
-	// refusalPause is the time until a shard is sent again that was refused more than once.
+	// apart: while ownership moves, two docks may each name the other for some time. With the
+	// pauses between them they last longer than views take to reach all docks.
+	maxRefusals = 40
+	// maxUnsent bounds the batches that could not be sent, which count apart as well: a dock that
+	// stops is gone before all views say so.
+	maxUnsent = 5
+	// refusalPause is by how much the time until a shard is sent again grows with each refusal
+	// after the first, and longestPause bounds it.
 	refusalPause = 20 * time.Millisecond
+	longestPause = 100 * time.Millisecond
 )
 
 // shardProgress is the state of one shard of a gathering.
@@ -72,8 +78,8 @@
 		progress:  make([]shardProgress, c.ShardCount),
 		open:      len(shards),
 		calls:     map[uint32]*batchCall{},
-		replies:   make(chan batchResult, len(shards)*(maxSendsPerShard+maxRefusals)),
-		stalls:    make(chan *batchCall, len(shards)*(maxSendsPerShard+maxRefusals)),
+		replies:   make(chan batchResult, len(shards)*maxSendsPerShard),
+		stalls:    make(chan *batchCall, len(shards)*maxSendsPerShard),
 	}
 	for _, n := range shards {
 		p := &g.progress[n]
@@ -189,7 +195,7 @@
 		g.acceptMissing(m)
 		g.noteCrash(m)
 		if m.Reason == encoder.MissingOwner && !m.Started {
-			g.acceptRefusal(m)
+			g.acceptRefusal(m.Shard, maxRefusals)
 		}
 	}
 	g.resend(ctx, r.call.batch.Shards)
@@ -273,11 +279,11 @@
 	p.mayHaveRun = p.mayHaveRun || m.Started
 }
 
-// acceptRefusal notes that a dock refused a shard for want of ownership. Nothing was run, so it
-// does not count as a send.
-func (g *gathering) acceptRefusal(m encoder.MissingShard) {
-	p := &g.progress[m.Shard]
-	if p.refusals < maxRefusals {
+// acceptRefusal notes that a dock refused a shard for want of ownership, or could not be sent
+// it. Nothing was run, so it does not count as a send, up to a number of refusals.
+func (g *gathering) acceptRefusal(n identifier.ShardNumber, limit int) {
+	p := &g.progress[n]
+	if p.refusals < limit {
 		p.refusals++
 		p.sends--
 	}
@@ -292,6 +298,9 @@
 	defer g.bypassAgain(ctx, r.call.batch.Shards)
 	for _, n := range r.call.batch.Shards {
 		g.acceptMissing(encoder.MissingShard{Shard: n, Reason: encoder.MissingOwner, Started: started})
+		if !started {
+			g.acceptRefusal(n, maxUnsent)
+		}
 	}
 	g.resend(ctx, r.call.batch.Shards)
 }
@@ -309,7 +318,8 @@
 		case !g.canResend(p):
 			g.giveUp(n, p.missing)
 		case p.refusals > 1:
-			p.resendAt = g.run.router.clock.Now().Add(refusalPause)
+			pause := min(longestPause, time.Duration(p.refusals-1)*refusalPause)
+			p.resendAt = g.run.router.clock.Now().Add(pause)
 		default:
 			again = append(again, n)
 		}
