--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -18,8 +18,6 @@
 	// answerTime bounds how long an operator's call may take: its caller gives up after a
 	// second.
 	answerTime = 900 * time.Millisecond
-	// leaderPause is the time between two attempts to reach a leader.
-	leaderPause = 40 * time.Millisecond
 	// departTime bounds how long the acknowledgement of a departure waits for other keepers.
 	departTime = 250 * time.Millisecond
 )
@@ -35,33 +33,42 @@
 	}
 	sum := sha256.Sum256(packed)
 	request := encoder.SubmitRequest{Manifest: encoder.ManifestText{Number: number, Digest: hex.EncodeToString(sum[:]), Text: packed}}
-	for {
-		reply := k.submitOnce(ctx, request)
-		if reply.Outcome == encoder.SubmitNotLeader && k.wait(ctx) {
-			continue
-		}
-		if reply.Outcome == encoder.SubmitNotLeader {
-			reply = encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: "no leader was reached in time"}
-		}
-		k.process.Log.Info().Uint64(recorder.FieldConfiguration, number).Stringer(recorder.FieldOutcome, reply.Outcome).
-			Uint64(recorder.FieldBefore, reply.StandingNumber).Str(recorder.FieldDetail, reply.Detail).Msg(recorder.EventSubmitted)
-		return reply
-	}
+	c := courier[encoder.SubmitReply]{clock: k.process.Clock, leader: k.leader, call: func(ctx context.Context, leader netip.AddrPort) (encoder.SubmitReply, bool) {
+		return k.submitAt(ctx, leader, request)
+	}}
+	reply, ok := c.deliver(ctx)
+	if !ok {
+		reply = encoder.SubmitReply{Outcome: encoder.SubmitUnknown, Detail: "no leader answered in time"}
+	}
+	k.process.Log.Info().Uint64(recorder.FieldConfiguration, number).Stringer(recorder.FieldOutcome, reply.Outcome).
+		Uint64(recorder.FieldBefore, reply.StandingNumber).Str(recorder.FieldDetail, reply.Detail).Msg(recorder.EventSubmitted)
+	return reply
 }
 
-// submitOnce submits here if this keeper leads, and else to the leader that it knows.
-func (k *Keeper) submitOnce(ctx context.Context, request encoder.SubmitRequest) encoder.SubmitReply {
-	// The governor's errors are outcomes of the reply.
-	reply, _ := k.governor.Submit(ctx, request)
-	if reply.Outcome != encoder.SubmitNotLeader || !reply.Leader.IsValid() {
-		return reply
+// submitAt submits here if this keeper leads, and else to the leader. It returns false if the
+// submission is to be repeated, which does no harm.
+func (k *Keeper) submitAt(ctx context.Context, leader netip.AddrPort, request encoder.SubmitRequest) (encoder.SubmitReply, bool) {
+	if leader == k.settings.LinkAddress {
+		// The governor's errors are outcomes of the reply.
+		reply, _ := k.governor.Submit(ctx, request)
+		return reply, isFinal(reply)
 	}
-	remote, err := linker.Call[encoder.SubmitRequest, encoder.SubmitReply](ctx, k.pool.Link(reply.Leader), encoder.KindSubmit, request)
-	if err != nil {
-		// A submission may be repeated, so it does not matter whether this one arrived.
-		return encoder.SubmitReply{Outcome: encoder.SubmitNotLeader, Detail: err.Error()}
+	reply, err := linker.Call[encoder.SubmitRequest, encoder.SubmitReply](ctx, k.pool.Link(leader), encoder.KindSubmit, request)
+	return reply, err == nil && isFinal(reply)
+}
+
+// isFinal tells whether repeating a submission would change nothing.
+func isFinal(reply encoder.SubmitReply) bool {
+	return reply.Outcome == encoder.SubmitAccepted || reply.Outcome == encoder.SubmitInvalid
+}
+
+// leader returns the link address of the leader, this keeper's own if it leads.
+func (k *Keeper) leader() netip.AddrPort {
+	s := k.replicator.Status()
+	if s.IsLeader {
+		return k.settings.LinkAddress
 	}
-	return remote
+	return s.Leader.Address
 }
 
 // Newest returns the text of the newest committed configuration, as a quorum confirms it. It
@@ -69,14 +76,12 @@
 func (k *Keeper) Newest(ctx context.Context) ([]byte, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	for {
-		if reply := k.confirmAnywhere(ctx); reply.IsConfirmed {
-			return k.unpack(reply.Manifest)
-		}
-		if !k.wait(ctx) {
-			return nil, false
-		}
+	c := courier[encoder.ManifestText]{clock: k.process.Clock, leader: k.leader, call: k.confirmAt}
+	newest, ok := c.deliver(ctx)
+	if !ok {
+		return nil, false
 	}
+	return k.unpack(newest)
 }
 
 // unpack returns the text of a committed configuration. It returns false if there is none.
@@ -92,20 +97,15 @@
 	return text, true
 }
 
-// confirmAnywhere asks the leader for the newest configuration.
-func (k *Keeper) confirmAnywhere(ctx context.Context) encoder.ConfirmReply {
-	s := k.replicator.Status()
-	if s.IsLeader {
-		return k.confirm(ctx)
+// confirmAt asks the leader for the newest configuration. It returns false if the leader does
+// not answer, or a quorum does not confirm it.
+func (k *Keeper) confirmAt(ctx context.Context, leader netip.AddrPort) (encoder.ManifestText, bool) {
+	if leader == k.settings.LinkAddress {
+		reply := k.confirm(ctx)
+		return reply.Manifest, reply.IsConfirmed
 	}
-	if !s.Leader.Address.IsValid() {
-		return encoder.ConfirmReply{}
-	}
-	reply, err := linker.Call[encoder.ConfirmRequest, encoder.ConfirmReply](ctx, k.pool.Link(s.Leader.Address), encoder.KindConfirm, encoder.ConfirmRequest{})
-	if err != nil {
-		return encoder.ConfirmReply{}
-	}
-	return reply
+	reply, err := linker.Call[encoder.ConfirmRequest, encoder.ConfirmReply](ctx, k.pool.Link(leader), encoder.KindConfirm, encoder.ConfirmRequest{})
+	return reply.Manifest, err == nil && reply.IsConfirmed
 }
 
 // confirm returns the newest configuration if this keeper certainly leads.
@@ -116,18 +116,6 @@
 	return encoder.ConfirmReply{IsConfirmed: true, Manifest: k.state.Manifest()}
 }
 
-// wait pauses before the next attempt. It returns false if there is no time for one.
-func (k *Keeper) wait(ctx context.Context) bool {
-	timer := k.process.Clock.NewTimer(leaderPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Announce takes in a heartbeat. A server that leaves is known to most keepers when it
 // returns, or departTime has passed.
 func (k *Keeper) Announce(ctx context.Context, r encoder.Registration) {
