--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -32,8 +32,9 @@
 	redialInterval = 100 * time.Millisecond
 	// sendQueueFrames is the number of frames that may wait for one connection's writer.
 	sendQueueFrames = 1024
-	// bufferBytes is the size of a connection's read and write buffers.
-	bufferBytes = 64 << 10
+	// bufferBytes is the size of a connection's read and write buffers. A keeper holds a connection
+	// to every dock, and larger frames pass the buffers by.
+	bufferBytes = 8 << 10
 )
 
 var (
