--- /dev/null
+++ b/internal/forwarder/forget_test.go
@@ -0,0 +1,38 @@
+package forwarder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/timekeeper"
+)
+
+// TestStateDoesNotGrowWithConfigurations gives every configuration a route of another name.
+func TestStateDoesNotGrowWithConfigurations(t *testing.T) {
+	s := sender.New(nil, timekeeper.System{}, metrics.NewRegistry())
+	defer s.Close()
+	f := New(Settings{}, s, timekeeper.System{}, zerolog.Nop(), measurer.New())
+	defer f.Close()
+	for i := range 500 {
+		name := matcher.RouteName(fmt.Sprint("r-", i))
+		table, err := matcher.Compile(matcher.Configuration{
+			Number:   uint64(i + 1),
+			Routes:   []matcher.Route{{Name: name, Host: "h", Prefix: "/", Timeout: time.Second, Destination: matcher.Single{Service: "plates"}}},
+			Services: []matcher.Service{{Name: "plates", Connections: 50}},
+		})
+		assert.NilError(t, err)
+		f.Configure(table)
+		f.latency(name).Observe(time.Millisecond)
+		f.wheel(name)
+	}
+	assert.Equal(t, len(f.latencies), 1)
+	assert.Equal(t, len(f.wheels), 1)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,12 +118,29 @@
 func (f *Forwarder) Configure(t *matcher.Table) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if old := f.table.Load(); old == nil || old.Number() < t.Number() {
-		f.table.Store(t)
-		for _, s := range t.Services() {
-			f.selector.SetConnections(s.Name, s.Connections)
-		}
+	if old := f.table.Load(); old != nil && old.Number() >= t.Number() {
+		return
+	}
+	f.table.Store(t)
+	connections := map[identifier.ServiceName]int{}
+	for _, s := range t.Services() {
+		connections[s.Name] = s.Connections
 	}
+	f.selector.SetServices(connections)
+	f.forget(t)
+}
+
+// forget drops what was learnt of routes that are no more, so that it does not grow with the
+// number of configurations. The caller holds the lock.
+func (f *Forwarder) forget(t *matcher.Table) {
+	names := map[matcher.RouteName]bool{}
+	for _, r := range t.Routes() {
+		names[r.Name] = true
+	}
+	isGone := func(name matcher.RouteName) bool { return !names[name] }
+	maps.DeleteFunc(f.latencies, func(name matcher.RouteName, _ *selector.Latencies) bool { return isGone(name) })
+	maps.DeleteFunc(f.wheels, func(name matcher.RouteName, _ *wheel) bool { return isGone(name) })
+	maps.DeleteFunc(f.throttles, func(name matcher.RouteName, _ *selector.Throttle) bool { return isGone(name) })
 }
 
 // Table returns the configuration in force, or nil before the first one.
@@ -130,6 +149,13 @@
 // UpdateServers replaces the servers that may be asked.
 func (f *Forwarder) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
 	f.selector.Update(services)
+	addresses := map[netip.AddrPort]encoder.ServerID{}
+	for _, servers := range services {
+		for _, s := range servers {
+			addresses[s.Address] = s.ID
+		}
+	}
+	f.sender.Retain(addresses)
 }
 
 // TakeObservations returns what was seen of the servers since the last call.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -151,6 +151,9 @@
 // Services returns all services of the configuration.
 func (t *Table) Services() []Service { return t.configuration.Services }
 
+// Routes returns all routes of the configuration.
+func (t *Table) Routes() []Route { return t.configuration.Routes }
+
 // Service returns what the configuration tells of a service.
 func (t *Table) Service(name identifier.ServiceName) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/selector/home.go
+++ b/internal/selector/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,12 +23,22 @@
 	mostConnections = 32
 )
 
-// SetConnections tells how many connections each server of a service accepts from all hosts.
-func (s *Selector) SetConnections(service identifier.ServiceName, connections int) {
+// SetServices tells which services there are, and how many connections each of their servers
+// accepts from all hosts. What is known of other services' budgets is dropped.
+func (s *Selector) SetServices(connections map[identifier.ServiceName]int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.connections[service] = connections
-	s.settle(service)
+	before := s.connections
+	s.connections = connections
+	for name, n := range connections {
+		if before[name] != n {
+			s.settle(name)
+		}
+	}
+	maps.DeleteFunc(s.budgets, func(name identifier.ServiceName, _ *budget) bool {
+		_, ok := connections[name]
+		return !ok
+	})
 }
 
 // Connections returns how many connections this host may hold to one server of a service.
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
@@ -294,3 +295,28 @@
 	}
 	assert.Equal(t, server.connections.Load(), int32(2))
 }
+
+// TestConnectionsToServersThatLeftAreClosed keeps one of two servers, and then has another
+// server at the address of the first.
+func TestConnectionsToServersThatLeftAreClosed(t *testing.T) {
+	answer := func(c net.Conn, _ int, r *http.Request) { reply(c, r.Header.Get("Request"), "answer") }
+	stays, leaves := newStandIn(t, answer), newStandIn(t, answer)
+	s := newSender(t)
+	ask := func(to sender.Destination) {
+		t.Helper()
+		_, err := send(s, to, "one", time.Second)
+		assert.NilError(t, err)
+	}
+	ask(stays.destination())
+	ask(leaves.destination())
+	s.Retain(map[netip.AddrPort]encoder.ServerID{stays.destination().Address: "s1"})
+	ask(stays.destination())
+	ask(leaves.destination())
+	assert.Equal(t, stays.connections.Load(), int32(1))
+	assert.Equal(t, leaves.connections.Load(), int32(2), "a new connection to a server that left and is back")
+	s.Retain(map[netip.AddrPort]encoder.ServerID{stays.destination().Address: "s2"})
+	to := stays.destination()
+	to.ID = "s2"
+	ask(to)
+	assert.Equal(t, stays.connections.Load(), int32(2), "a new connection to another server at the address")
+}
--- /dev/null
+++ b/internal/watcher/keeper.go
@@ -0,0 +1,123 @@
+package watcher
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/recorder"
+)
+
+// keeper is the watch of one keeper.
+type keeper struct {
+	// Set at creation.
+	watcher *Watcher
+	address netip.AddrPort
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// Owned by run.
+	process identifier.Incarnation
+	seen    uint64
+
+	// Guarded by the watcher's mutex.
+	heard    time.Time
+	isVoter  bool
+	isMember bool
+	docks    int
+}
+
+// run watches until the keeper is no member any more.
+func (k *keeper) run() {
+	w := k.watcher
+	defer w.tasks.Done()
+	for k.ctx.Err() == nil {
+		reply, err := k.call()
+		if err != nil {
+			k.fail(err)
+			k.pause()
+			continue
+		}
+		w.take(k, reply)
+		w.fetch(k, reply.Configuration)
+	}
+}
+
+// call performs one watch.
+func (k *keeper) call() (encoder.WatchReply, error) {
+	w := k.watcher
+	ctx, cancel := context.WithTimeout(k.ctx, watchTimeout)
+	defer cancel()
+	w.mutex.Lock()
+	request := encoder.WatchRequest{
+		Keeper:         k.process,
+		Seen:           k.seen,
+		Configuration:  w.configuration,
+		MembersDigest:  w.membersDigest,
+		VerdictsDigest: w.verdictsDigest,
+		Wait:           watchWait,
+	}
+	w.mutex.Unlock()
+	return linker.Call[encoder.WatchRequest, encoder.WatchReply](ctx, w.pool.Link(k.address), encoder.KindWatch, request)
+}
+
+// fail notes that the keeper did not answer.
+func (k *keeper) fail(err error) {
+	w := k.watcher
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if k.ctx.Err() != nil {
+		return
+	}
+	if !k.heard.IsZero() {
+		w.log.Warn().Err(err).Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventKeeperLost)
+	}
+	k.heard = time.Time{}
+	w.catalog.Disconnect(w.clock.Now(), k.address)
+}
+
+// pause waits before the next attempt.
+func (k *keeper) pause() {
+	timer := k.watcher.clock.NewTimer(pauseAfterFailure)
+	defer timer.Stop()
+	select {
+	case <-k.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// fetch gets a configuration that is newer than the one in force.
+func (w *Watcher) fetch(k *keeper, number uint64) {
+	w.fetching.Lock()
+	defer w.fetching.Unlock()
+	w.mutex.Lock()
+	known := w.configuration
+	w.mutex.Unlock()
+	if number <= known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, fetchTimeout)
+	defer cancel()
+	text, err := linker.Call[encoder.FetchRequest, encoder.ManifestText](ctx, w.pool.Link(k.address), encoder.KindFetch, encoder.FetchRequest{})
+	if err != nil {
+		w.log.Warn().Err(err).Stringer(recorder.FieldKeeper, k.address).Uint64(recorder.FieldConfiguration, number).Msg(recorder.EventConfigurationFailed)
+		return
+	}
+	table, err := w.compile(text.Text)
+	if err != nil {
+		w.log.Error().Err(err).Uint64(recorder.FieldConfiguration, text.Number).Msg(recorder.EventConfigurationFailed)
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if text.Number <= w.configuration {
+		return
+	}
+	w.configuration = text.Number
+	w.sink.Configure(table)
+	w.log.Info().Uint64(recorder.FieldConfiguration, text.Number).Uint64(recorder.FieldBefore, known).
+		Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventConfiguration)
+}
