--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -164,6 +164,20 @@
 // SetVerdicts replaces the servers that most docks find slow.
 func (f *Forwarder) SetVerdicts(verdicts []encoder.Verdict) { f.selector.SetVerdicts(verdicts) }
 
+// Levels returns the levels of what requests are decided on.
+func (f *Forwarder) Levels() selector.Levels { return f.selector.Levels() }
+
+// LeastAdmitted returns the least share of any route's requests that is admitted.
+func (f *Forwarder) LeastAdmitted() float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	least := 1.0
+	for _, t := range f.throttles {
+		least = min(least, t.Share())
+	}
+	return least
+}
+
 // SetDocks tells how many hosts share the budget of repeats and the servers' connections.
 func (f *Forwarder) SetDocks(n int) {
 	f.selector.SetDocks(n)
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -99,7 +99,7 @@
 	d.forwarder.OnObserved(d.watcher.ObserveSoon)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
-	p.Metrics.Computed("configuration_number", measurer.Count, "Number of the configuration in force.", d.number)
+	d.expose()
 	if err := d.listen(settings.ReadinessAddress, wire.Readiness(d)); err != nil {
 		return nil, d.abandon(err)
 	}
@@ -109,6 +109,24 @@
 	return d, nil
 }
 
+// expose adds the dock's levels to the metrics.
+func (d *Dock) expose() {
+	m := d.process.Metrics
+	m.Computed("forwarder.configuration", measurer.Count, "Number of the configuration in force.", d.number)
+	m.Computed("forwarder.admitted_percent", measurer.Count, "Least share of any route's requests that the throttle admits, in percent.", func() int64 {
+		return int64(100 * d.forwarder.LeastAdmitted())
+	})
+	m.Computed("selector.servers", measurer.Count, "Backend servers that may get requests.", func() int64 {
+		return int64(d.forwarder.Levels().Servers)
+	})
+	m.Computed("selector.slow_servers", measurer.Count, "Backend servers that most docks find slow.", func() int64 {
+		return int64(d.forwarder.Levels().Slow)
+	})
+	m.Computed("selector.repeats_left", measurer.Count, "Repeats that the service with the fewest still allows.", func() int64 {
+		return int64(d.forwarder.Levels().Repeats)
+	})
+}
+
 // compile unpacks a configuration before it is read.
 func compile(read watcher.Compile) watcher.Compile {
 	return func(packed []byte) (*matcher.Table, error) {
--- a/internal/routekeeperrunner/runner.go
+++ b/internal/routekeeperrunner/runner.go
@@ -103,13 +103,13 @@
 		return nil
 	})
 	m := r.process.Metrics
-	m.Computed("keeper_term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(r.status().Term) })
-	m.Computed("keeper_commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(r.status().CommitIndex) })
-	m.Computed("keeper_is_voter", measurer.Count, "1 if this keeper counts toward a majority.", func() int64 { return flag(r.status().IsVoter) })
-	m.Computed("keeper_is_leader", measurer.Count, "1 if this keeper leads.", func() int64 { return flag(r.status().IsLeader) })
-	m.Computed("keeper_voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(r.status().Voters)) })
-	m.Computed("keeper_learners", measurer.Count, "Members that the leader teaches.", func() int64 { return int64(len(r.status().Learners)) })
-	m.Computed("keeper_configuration", measurer.Count, "Number of the committed configuration.", r.number)
+	m.Computed("keeper.term", measurer.Count, "Term of the keepers' agreement.", func() int64 { return int64(r.status().Term) })
+	m.Computed("keeper.commit_index", measurer.Count, "Index of the last committed entry.", func() int64 { return int64(r.status().CommitIndex) })
+	m.Computed("keeper.is_voter", measurer.Count, "1 if this keeper counts toward a majority.", func() int64 { return flag(r.status().IsVoter) })
+	m.Computed("keeper.is_leader", measurer.Count, "1 if this keeper leads.", func() int64 { return flag(r.status().IsLeader) })
+	m.Computed("keeper.voters", measurer.Count, "Voters of the group.", func() int64 { return int64(len(r.status().Voters)) })
+	m.Computed("keeper.learners", measurer.Count, "Members that the leader teaches.", func() int64 { return int64(len(r.status().Learners)) })
+	m.Computed("keeper.configuration", measurer.Count, "Number of the committed configuration.", r.number)
 }
 
 // status is the state of the agreement, or the zero one while no keeper runs.
--- /dev/null
+++ b/internal/selector/levels.go
@@ -0,0 +1,21 @@
+package selector
+
+// Levels sum up what choices rest on, for metrics.
+type Levels struct {
+	// Servers may get requests, and Slow of them are slow by the docks' common verdict.
+	Servers int
+	Slow    int
+	// Repeats is what the service with the fewest repeats left still allows.
+	Repeats float64
+}
+
+// Levels returns the present levels.
+func (s *Selector) Levels() Levels {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	levels := Levels{Servers: len(s.servers), Slow: len(s.verdicts), Repeats: s.capacity()}
+	for _, b := range s.budgets {
+		levels.Repeats = min(levels.Repeats, b.tokens)
+	}
+	return levels
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -171,8 +171,8 @@
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 			Control:         setUserTimeout,
 		},
-		opened:  metrics.GetOrRegisterCounter("sender_connections_opened", registry),
-		foreign: metrics.GetOrRegisterCounter("sender_foreign_replies", registry),
+		opened:  metrics.GetOrRegisterCounter("sender.connections_opened", registry),
+		foreign: metrics.GetOrRegisterCounter("sender.foreign_replies", registry),
 		pools:   map[netip.AddrPort]*pool{},
 	}
 }
