Lines carry milliseconds; the story of a request is told once and in order

Lines now carry milliseconds; beliefs of other docks are folded; outcomes stand among beliefs by time.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -23,6 +23,8 @@
 	lookBack = 10 * time.Second
 	// lookAhead is how long after it they are.
 	lookAhead = time.Second
+	// keeperProgram is the program whose beliefs all docks share.
+	keeperProgram = "routekeeper"
 )
 
 // ErrUnknownRequest reports a request that no line tells of.
@@ -143,14 +145,51 @@
 	}
 	slices.SortStableFunc(s.Outcomes, byTime)
 	for _, line := range l.lines {
-		if line.Event != recorder.EventRequest && s.concerns(line) {
+		if line.isBelief() && s.concerns(line) {
 			s.Beliefs = append(s.Beliefs, line)
 		}
 	}
 	slices.SortStableFunc(s.Beliefs, byTime)
+	s.foldOthers()
 	return s, nil
 }
 
+// isBelief tells whether a line is neither of a request nor a count of requests.
+func (l *Line) isBelief() bool {
+	return l.Event != recorder.EventRequest && l.Event != recorder.EventRequests
+}
+
+// finding is what a line of a dock tells of a server.
+type finding struct{ event, server string }
+
+// foldOthers leaves out what other docks came to believe as well. All docks learn of a slow server
+// at once, so that the story of one request was drowned in the lines of a hundred docks. What only
+// others believed stays, once: that the answering dock did not know it may be the cause.
+func (s *Story) foldOthers() {
+	told := map[finding]bool{}
+	for _, line := range s.Beliefs {
+		if s.answeredAt(line.Host) {
+			told[line.finding()] = true
+		}
+	}
+	s.Beliefs = slices.DeleteFunc(s.Beliefs, func(line Line) bool {
+		if s.answeredAt(line.Host) || line.Program == keeperProgram {
+			return false
+		}
+		known := told[line.finding()]
+		told[line.finding()] = true
+		return known
+	})
+}
+
+// answeredAt tells whether a host answered the request.
+func (s *Story) answeredAt(host string) bool {
+	return slices.ContainsFunc(s.Outcomes, func(o Line) bool { return o.Host == host })
+}
+
+// finding returns what a line tells of a server.
+func (l *Line) finding() finding { return finding{event: l.Event, server: l.Server} }
+
 // concerns tells whether a line bears on one of the outcomes.
 func (s *Story) concerns(line Line) bool {
 	for _, o := range s.Outcomes {
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -34,9 +34,9 @@
 	assert.NilError(t, err)
 	var b strings.Builder
 	s.Write(&b)
-	assert.Equal(t, b.String(), `10:00:00 d1: server unreachable, server s1, service plates, count 2
-10:00:01 k1: server departs, server s1, service plates
-10:00:02 d1: request r7 failed (lost) after 52 of 1000 ms, route sweep of configuration 4
+	assert.Equal(t, b.String(), `10:00:00.000 d1: server unreachable, server s1, service plates, count 2
+10:00:01.000 k1: server departs, server s1, service plates
+10:00:02.000 d1: request r7 failed (lost) after 52 of 1000 ms, route sweep of configuration 4
   plates: no further server was asked (budget)
     at 1 ms first to s1 (expected 1.5 times the usual latency, last seen 70 ms before): lost after 50 ms, read: EOF
 `)
@@ -50,3 +50,22 @@
 	l.WriteUnreadable(&b)
 	assert.Equal(t, b.String(), "dock.log: 2 lines could not be read\n")
 }
+
+// TestBeliefsOfOtherDocksAreFolded replays a request of a played day on which each of 20 docks wrote
+// that a server was slow.
+func TestBeliefsOfOtherDocksAreFolded(t *testing.T) {
+	l := read(t)
+	for _, host := range []string{"d2", "d3", "d4"} {
+		assert.NilError(t, l.Add(host, strings.NewReader(strings.ReplaceAll(othersLog, "HOST", host))))
+	}
+	s, err := l.Explain("r7")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Equal(t, strings.Count(b.String(), "server unreachable"), 1, "the answering dock's own line only")
+	assert.Equal(t, strings.Count(b.String(), "server slow"), 1, "one dock stands for those that believed it")
+}
+
+const othersLog = `{"level":"info","program":"routedock","host":"HOST","server":"s1","service":"plates","count":2,"time":"2026-01-01T10:00:00Z","message":"server unreachable"}
+{"level":"info","program":"routedock","host":"HOST","server":"s1","service":"plates","slowness":8,"time":"2026-01-01T10:00:01Z","message":"server slow"}
+`
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -5,25 +5,33 @@
 	"io"
 	"maps"
 	"slices"
-	"time"
+
+	"banyandock.example/banyandock/internal/recorder"
 )
 
-// timeFormat shows the time of day. Log lines carry seconds.
-const timeFormat = time.TimeOnly
+// timeFormat shows the time of day.
+const timeFormat = "15:04:05.000"
 
-// Write tells the story in plain lines.
+// Write tells the story in plain lines, in the order of their times.
 func (s Story) Write(w io.Writer) {
-	for _, b := range s.Beliefs {
-		_, _ = fmt.Fprintf(w, "%s %s: %s\n", b.Time.Format(timeFormat), b.Host, b.belief())
-	}
-	for _, o := range s.Outcomes {
-		_, _ = fmt.Fprintf(w, "%s %s: request %s %s\n", o.Time.Format(timeFormat), o.Host, o.Request, o.outcome())
-		for _, j := range o.Jobs {
+	lines := slices.Concat(s.Beliefs, s.Outcomes)
+	slices.SortStableFunc(lines, byTime)
+	for _, line := range lines {
+		_, _ = fmt.Fprintf(w, "%s %s: %s\n", line.Time.Format(timeFormat), line.Host, line.telling())
+		for _, j := range line.Jobs {
 			j.write(w)
 		}
 	}
 }
 
+// telling tells of an outcome or of a changed belief.
+func (l *Line) telling() string {
+	if l.Event == recorder.EventRequest {
+		return fmt.Sprintf("request %s %s", l.Request, l.outcome())
+	}
+	return l.belief()
+}
+
 // outcome tells how a request ended and what that rested on.
 func (l *Line) outcome() string {
 	text := l.Outcome
@@ -31,7 +39,7 @@
 		text += " (" + l.Reason + ")"
 	}
 	text += fmt.Sprintf(" after %d of %d ms, route %s of configuration %d", l.ElapsedMs, l.TimeoutMs, l.Route, l.Configuration)
-	if l.Shards > 1 {
+	if l.Missing > 0 {
 		text += fmt.Sprintf(", %d of %d shards missing", l.Missing, l.Shards)
 	}
 	if l.RetryAfterMs > 0 {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -135,10 +135,21 @@
 		w = zerolog.ConsoleWriter{Out: w}
 	}
 	return zerolog.New(w).Level(p.Settings.LogLevel).With().
-		Timestamp().
 		Str("program", p.Program).
 		Str("host", string(p.Settings.Host)).
-		Logger()
+		Logger().
+		Hook(timeStamp{clock: p.Clock})
+}
+
+// timeFormat has milliseconds, since the lines of several hosts are read together.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// timeStamp adds the time to each line.
+type timeStamp struct{ clock timekeeper.Clock }
+
+// Run adds the time.
+func (t timeStamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, t.clock.Now().Format(timeFormat))
 }
 
 // signalContext returns a context that ends at the first SIGTERM or SIGINT. After that the
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,10 +14,13 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"banyandock.example/banyandock/internal/timekeeper"
+
 	"banyandock.example/banyandock/internal/settingsreader"
 )
 
@@ -138,3 +142,16 @@
 	assert.Equal(t, code, ExitOK, stderr)
 	assert.Assert(t, strings.Contains(log, `"message":"stopped"`))
 }
+
+// TestLinesCarryMilliseconds: within a second the lines of several hosts could not be put in order.
+func TestLinesCarryMilliseconds(t *testing.T) {
+	var logs bytes.Buffer
+	p := &Process{Program: "dock", Clock: timekeeper.System{}}
+	log := newLog(p, &logs)
+	log.Info().Msg("started")
+	var line struct{ Time string }
+	assert.NilError(t, json.Unmarshal(logs.Bytes(), &line))
+	at, err := time.Parse(timeFormat, line.Time)
+	assert.NilError(t, err, "%s", logs.String())
+	assert.Assert(t, time.Since(at) < time.Minute)
+}
