--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -309,39 +309,60 @@
 	s := b.standing()
 	now := b.clock.Now()
 	b.docks[dock] = now
+	reply := b.reply(s, request)
+	reply.Docks = b.countDocks(now)
+	b.addServers(&reply, request, now)
+	switch {
+	case isUrgent(reply, request):
+		return reply, newsUrgent, waking
+	case len(reply.Servers) > 0:
+		return reply, newsDirectory, waking
+	default:
+		return reply, newsNone, waking
+	}
+}
+
+// reply returns the keeper's standing, with verdicts and members only if the dock has others. The
+// caller holds the lock.
+func (b *Broadcaster) reply(s Standing, request encoder.WatchRequest) encoder.WatchReply {
 	reply := encoder.WatchReply{
-		Keeper:        b.self,
-		Seen:          b.base + uint64(len(b.changes)),
-		Configuration: s.Configuration,
-		IsVoter:       s.IsVoter,
-		IsLeader:      s.IsLeader,
-		MembersDigest: s.MembersDigest,
-		Voters:        s.Voters,
-		Docks:         b.countDocks(now),
+		Keeper:         b.self,
+		Seen:           b.base + uint64(len(b.changes)),
+		Configuration:  s.Configuration,
+		IsVoter:        s.IsVoter,
+		IsLeader:       s.IsLeader,
+		MembersDigest:  s.MembersDigest,
+		VerdictsDigest: b.verdictsDigest,
+		Voters:         s.Voters,
 	}
-	reply.VerdictsDigest = b.verdictsDigest
-	if b.verdictsDigest != request.VerdictsDigest {
+	if reply.VerdictsDigest != request.VerdictsDigest {
 		reply.Verdicts = b.verdicts
 	}
-	if s.MembersDigest != request.MembersDigest {
+	if reply.MembersDigest != request.MembersDigest {
 		reply.Members = s.Members
 	}
-	if request.Keeper != b.self || request.Seen < b.base || request.Seen > reply.Seen {
-		reply.IsWhole = true
-		reply.Servers = b.book.All(now)
-	} else {
+	return reply
+}
+
+// addServers adds the changes that a dock has not seen, or the whole directory if they are not
+// kept any more or the dock watched another start of the keeper. The caller holds the lock.
+func (b *Broadcaster) addServers(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
+	if request.Keeper == b.self && request.Seen >= b.base && request.Seen <= reply.Seen {
 		reply.Servers = b.changes[request.Seen-b.base:]
+		return
 	}
-	isUrgent := reply.IsWhole || s.Configuration > request.Configuration ||
-		s.IsLeader && (s.MembersDigest != request.MembersDigest || b.verdictsDigest != request.VerdictsDigest)
-	switch {
-	case isUrgent:
-		return reply, newsUrgent, waking
-	case len(reply.Servers) > 0:
-		return reply, newsDirectory, waking
-	default:
-		return reply, newsNone, waking
+	reply.IsWhole = true
+	reply.Servers = b.book.All(now)
+}
+
+// isUrgent tells whether a reply holds what a dock must hear at once. Members and verdicts count
+// only from the leader, who has them first.
+func isUrgent(reply encoder.WatchReply, request encoder.WatchRequest) bool {
+	if reply.IsWhole || reply.Configuration > request.Configuration {
+		return true
 	}
+	isNews := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest
+	return reply.IsLeader && isNews
 }
 
 // countDocks returns how many docks watch this keeper. The caller holds the lock.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -140,7 +140,7 @@
 	defer s.mutex.Unlock()
 	best, bestScore := (*server)(nil), math.Inf(1)
 	for _, v := range s.services[service] {
-		if contains(excluded, v.info.ID) {
+		if slices.Contains(excluded, v.info.ID) {
 			continue
 		}
 		score := v.score(now, s.verdicts[v.info.ID]) * (1 + jitter*s.random.Float64())
@@ -157,15 +157,12 @@
 	if best == nil {
 		return Target{}, false
 	}
-	return Target{ID: best.info.ID, Address: best.info.Address, Domain: best.info.Domain, Score: bestScore, Seen: best.age(now), IsBusy: best.queue(now) >= busyQueue}, true
-}
-
-// contains tells whether an ID is in a short list.
-func contains(list []encoder.ServerID, id encoder.ServerID) bool {
-	for _, other := range list {
-		if other == id {
-			return true
-		}
-	}
-	return false
+	return Target{
+		ID:      best.info.ID,
+		Address: best.info.Address,
+		Domain:  best.info.Domain,
+		Score:   bestScore,
+		Seen:    best.age(now),
+		IsBusy:  best.queue(now) >= busyQueue,
+	}, true
 }
