A refusal for congestion logs what it rested on

Cause: its line named the reason only; the servers' state and the admitted share have changed by the time anyone asks, and a refusal while servers are free again could not be told from a wrong one.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -44,18 +44,22 @@
 	Outcome string    `json:"outcome"`
 	Reason  string    `json:"reason"`
 
-	Configuration uint64  `json:"configuration"`
-	Before        uint64  `json:"before"`
-	ElapsedMs     int64   `json:"elapsed_ms"`
-	TimeoutMs     int64   `json:"timeout_ms"`
-	RetryAfterMs  int64   `json:"retry_after_ms"`
-	Shards        int     `json:"shards"`
-	Missing       int     `json:"missing"`
-	Jobs          []Job   `json:"jobs"`
-	Count         int     `json:"count"`
-	Slowness      float64 `json:"slowness"`
-	Keeper        string  `json:"keeper"`
-	Error         string  `json:"error"`
+	Configuration uint64 `json:"configuration"`
+	Before        uint64 `json:"before"`
+	ElapsedMs     int64  `json:"elapsed_ms"`
+	TimeoutMs     int64  `json:"timeout_ms"`
+	RetryAfterMs  int64  `json:"retry_after_ms"`
+	IsCongested   bool   `json:"congested"`
+	IsReturn      bool   `json:"returned"`
+	// Admitted is nil where the line is not of a refusal for congestion.
+	Admitted *int    `json:"admitted_percent"`
+	Shards   int     `json:"shards"`
+	Missing  int     `json:"missing"`
+	Jobs     []Job   `json:"jobs"`
+	Count    int     `json:"count"`
+	Slowness float64 `json:"slowness"`
+	Keeper   string  `json:"keeper"`
+	Error    string  `json:"error"`
 	// Text is the line as it was read.
 	Text string `json:"-"`
 }
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -69,3 +69,17 @@
 const othersLog = `{"level":"info","program":"routedock","host":"HOST","server":"s1","service":"plates","count":2,"time":"2026-01-01T10:00:00Z","message":"server unreachable"}
 {"level":"info","program":"routedock","host":"HOST","server":"s1","service":"plates","slowness":8,"time":"2026-01-01T10:00:01Z","message":"server slow"}
 `
+
+func TestRefusalTellsWhatItRestedOn(t *testing.T) {
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("dock", strings.NewReader(refusal)))
+	s, err := l.Explain("r9")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Equal(t, b.String(), "10:00:02.000 d1: request r9 refused (congested) after 0 of 1000 ms, route sweep of configuration 4, "+
+		"servers no longer congested, 70% of the route admitted, turned away before, told to come back after 700 ms\n")
+}
+
+const refusal = `{"level":"warn","program":"routedock","host":"d1","request":"r9","route":"sweep","configuration":4,"outcome":"refused","elapsed_ms":0,"timeout_ms":1000,"reason":"congested","retry_after_ms":700,"congested":false,"returned":true,"admitted_percent":70,"jobs":[],"time":"2026-01-01T10:00:02.000Z","message":"request"}
+`
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -39,6 +39,9 @@
 		text += " (" + l.Reason + ")"
 	}
 	text += fmt.Sprintf(" after %d of %d ms, route %s of configuration %d", l.ElapsedMs, l.TimeoutMs, l.Route, l.Configuration)
+	if l.Admitted != nil {
+		text += l.admission()
+	}
 	if l.Missing > 0 {
 		text += fmt.Sprintf(", %d of %d shards missing", l.Missing, l.Shards)
 	}
@@ -48,6 +51,19 @@
 	return text
 }
 
+// admission tells what a refusal for congestion rested on.
+func (l *Line) admission() string {
+	text := ", servers congested"
+	if !l.IsCongested {
+		text = ", servers no longer congested"
+	}
+	text += fmt.Sprintf(", %d%% of the route admitted", *l.Admitted)
+	if l.IsReturn {
+		text += ", turned away before"
+	}
+	return text
+}
+
 // write tells of a service's attempts.
 func (j Job) write(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "  %s:", j.Service)
--- a/internal/forwarder/forward_test.go
+++ b/internal/forwarder/forward_test.go
@@ -221,3 +221,21 @@
 	}
 	return names
 }
+
+// TestRefusalLogsWhatItRestedOn: a refusal for congestion names the state of the servers and the
+// share that is let in, since both have changed by the time anyone asks.
+func TestRefusalLogsWhatItRestedOn(t *testing.T) {
+	d := newDeployment(t, ample)
+	d.add("plates", "a", fullyLoaded)
+	d.route(matcher.Route{Destination: single, Idempotent: true})
+	// The share falls ten times a second at most.
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if _, ok := d.get().(forwarder.Refused); ok {
+			break
+		}
+	}
+	line := d.logged()
+	for _, part := range []string{`"outcome":"refused"`, `"reason":"congested"`, `"congested":true`, `"returned":`, `"admitted_percent":`} {
+		assert.Assert(t, strings.Contains(line, part), "%s lacks %s", line, part)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -252,5 +252,7 @@
 		t = selector.NewThrottle()
 		f.throttles[q.route.Name] = t
 	}
-	return t.Admit(now, isCongested, isReturn)
+	isAdmitted := t.Admit(now, isCongested, isReturn)
+	q.admission = admission{isCongested: isCongested, isReturn: isReturn, share: t.Share()}
+	return isAdmitted
 }
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -35,6 +35,9 @@
 	// target is when an answer must leave to be in time. It is zero without a target.
 	target time.Time
 
+	// admission is what the decision to let the request in rested on.
+	admission admission
+
 	// jobs are the requests to the services of the route, and collector makes the outcome.
 	jobs      []*job
 	collector collector
@@ -51,6 +54,16 @@
 	detach func() bool
 }
 
+// admission is what the decision on a request's admission rested on.
+type admission struct {
+	// isCongested says that the servers had more waiting than they can answer in time.
+	isCongested bool
+	// isReturn says that the caller was turned away before.
+	isReturn bool
+	// share is the part of the route's requests that was admitted from then on, 0 to 1.
+	share float64
+}
+
 // collector makes an outcome out of the results of a query's jobs.
 type collector interface {
 	// ended takes in a job's result. It returns the outcome, or nil if more is to come.
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -101,6 +101,11 @@
 	if v.name == "refused" {
 		line = line.Int64(recorder.FieldRetryAfter, v.after.Milliseconds())
 	}
+	if v.reason == ReasonCongested {
+		line = line.Bool(recorder.FieldCongested, q.admission.isCongested).
+			Bool(recorder.FieldReturn, q.admission.isReturn).
+			Int64(recorder.FieldAdmitted, int64(100*q.admission.share))
+	}
 	if len(q.jobs) > 1 {
 		line = line.Int(recorder.FieldShards, len(q.jobs)).Int(recorder.FieldMissing, v.missing)
 	}
--- a/internal/forwarder/standin_test.go
+++ b/internal/forwarder/standin_test.go
@@ -40,7 +40,11 @@
 }
 
 func (plain) Facts(_ int, header http.Header) sender.Facts {
-	return sender.Facts{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	f := sender.Facts{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	if header.Get("Queue") == "full" {
+		f.HasLoad, f.Running, f.Waiting, f.Slots = true, 2, 20, 2
+	}
+	return f
 }
 
 // handler answers one request at a stand-in. Its number counts from 1.
@@ -218,6 +222,12 @@
 	}
 }
 
+// fullyLoaded answers, and reports more work than its slots can do.
+func fullyLoaded(w http.ResponseWriter, r *http.Request, n int) {
+	w.Header().Set("Queue", "full")
+	answers("ok")(w, r, n)
+}
+
 // rejects says that the request did not run.
 func rejects(w http.ResponseWriter, _ *http.Request, _ int) {
 	w.Header().Set("Not-Run", "true")
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -79,6 +79,10 @@
 	FieldAttempts = "attempts"
 	// FieldDenied says why a service was not asked once more: for want of budget or servers.
 	FieldDenied = "denied"
+	// FieldCongested, FieldReturn and FieldAdmitted are what a refusal for congestion rested on.
+	FieldCongested = "congested"
+	FieldReturn    = "returned"
+	FieldAdmitted  = "admitted_percent"
 	// FieldCause says why an attempt was made: first, hedge or retry.
 	FieldCause = "cause"
 	FieldAt    = "at_ms"
