An address is free once its server has started elsewhere

Cause, found on reading: a server that starts anew at another address kept its old address in the book. The next server there was taken for its successor, and ended it. The test failed with 'b' for 'a, b'. Giving an address up was written four times and is one method now.

--- a/internal/locator/book.go
+++ b/internal/locator/book.go
@@ -63,14 +63,14 @@
 		}
 		changed = append(changed, b.end(now, holder))
 	}
+	if e != nil {
+		b.free(e.registration)
+	}
 	if e == nil || e.registration.Born < r.Born {
 		e = &entry{}
 		b.entries[r.ID] = e
 	}
 	before := e.registration
-	if before.Address.IsValid() && before.Address != r.Address && b.byAddress[before.Address] == r.ID {
-		delete(b.byAddress, before.Address)
-	}
 	if r.State < before.State {
 		r.State = before.State
 	}
@@ -148,9 +148,7 @@
 	r := &e.registration
 	r.State = encoder.PresenceGone
 	e.heard = now
-	if b.byAddress[r.Address] == r.ID {
-		delete(b.byAddress, r.Address)
-	}
+	b.free(*r)
 	return e.describe(now)
 }
 
@@ -159,10 +157,15 @@
 	r := e.describe(now)
 	r.State = encoder.PresenceLost
 	delete(b.entries, r.ID)
+	b.free(r)
+	return r
+}
+
+// free gives a server's address up, unless another server has it by now.
+func (b *Book) free(r encoder.Registration) {
 	if b.byAddress[r.Address] == r.ID {
 		delete(b.byAddress, r.Address)
 	}
-	return r
 }
 
 // Restore takes in what was known before a restart. The servers confirm themselves by their
--- a/internal/locator/depart.go
+++ b/internal/locator/depart.go
@@ -14,8 +14,8 @@
 	if !isNews {
 		return nil
 	}
-	if e != nil && b.byAddress[e.registration.Address] == r.ID {
-		delete(b.byAddress, e.registration.Address)
+	if e != nil {
+		b.free(e.registration)
 	}
 	e = &entry{registration: r, heard: now}
 	b.entries[r.ID] = e
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -88,6 +88,18 @@
 	expect(t, ids(start, b), "", "a")
 }
 
+// TestAddressIsFreeOnceItsServerStartedElsewhere restarts a server at another address, and starts
+// another one at its old address: both take work.
+func TestAddressIsFreeOnceItsServerStartedElsewhere(t *testing.T) {
+	b := locator.NewBook(silence)
+	b.Beat(start, beat("a", 100, 5))
+	moved := beat("a", 200, 1)
+	moved.Address = beat("c", 0, 0).Address
+	b.Beat(start, moved)
+	b.Beat(start, beat("b", 300, 1))
+	expect(t, ids(start, b), "", "a", "b")
+}
+
 func TestDepartedServersStayAway(t *testing.T) {
 	b := locator.NewBook(silence)
 	b.Beat(start, beat("a", 100, 5))
