--- a/internal/forwarder/forget_test.go
+++ b/internal/forwarder/forget_test.go
@@ -33,6 +33,5 @@
 		f.latency(name).Observe(time.Millisecond)
 		f.wheel(name)
 	}
-	assert.Equal(t, len(f.latencies), 1)
-	assert.Equal(t, len(f.wheels), 1)
+	assert.Equal(t, len(f.states), 1)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -83,10 +83,18 @@
 	table atomic.Pointer[matcher.Table]
 
 	// Guarded by mutex.
-	mutex     sync.Mutex
-	latencies map[matcher.RouteName]*selector.Latencies
-	wheels    map[matcher.RouteName]*wheel
-	throttles map[matcher.RouteName]*selector.Throttle
+	mutex  sync.Mutex
+	states map[matcher.RouteName]*routeState
+}
+
+// routeState is what was learnt of a route, and outlives configurations that keep the route.
+type routeState struct {
+	// latency estimates the route's latency at one server.
+	latency *selector.Latencies
+	// wheel holds the turns of a weighted route.
+	wheel *wheel
+	// throttle is guarded by the forwarder's mutex.
+	throttle *selector.Throttle
 }
 
 // New returns a Forwarder without a configuration.
@@ -95,18 +103,16 @@
 	chooser.OnBelief((&diary{log}).note)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
-		ctx:       ctx,
-		cancel:    cancel,
-		clock:     clock,
-		selector:  chooser,
-		sender:    s,
-		started:   clock.Now(),
-		work:      make(chan *attempt),
-		observed:  func() {},
-		reporter:  newReporter(log, metrics, clock.Now()),
-		latencies: map[matcher.RouteName]*selector.Latencies{},
-		wheels:    map[matcher.RouteName]*wheel{},
-		throttles: map[matcher.RouteName]*selector.Throttle{},
+		ctx:      ctx,
+		cancel:   cancel,
+		clock:    clock,
+		selector: chooser,
+		sender:   s,
+		started:  clock.Now(),
+		work:     make(chan *attempt),
+		observed: func() {},
+		reporter: newReporter(log, metrics, clock.Now()),
+		states:   map[matcher.RouteName]*routeState{},
 	}
 }
 
@@ -137,10 +143,7 @@
 	for _, r := range t.Routes() {
 		names[r.Name] = true
 	}
-	isGone := func(name matcher.RouteName) bool { return !names[name] }
-	maps.DeleteFunc(f.latencies, func(name matcher.RouteName, _ *selector.Latencies) bool { return isGone(name) })
-	maps.DeleteFunc(f.wheels, func(name matcher.RouteName, _ *wheel) bool { return isGone(name) })
-	maps.DeleteFunc(f.throttles, func(name matcher.RouteName, _ *selector.Throttle) bool { return isGone(name) })
+	maps.DeleteFunc(f.states, func(name matcher.RouteName, _ *routeState) bool { return !names[name] })
 }
 
 // Table returns the configuration in force, or nil before the first one.
@@ -172,8 +175,8 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	least := 1.0
-	for _, t := range f.throttles {
-		least = min(least, t.Share())
+	for _, state := range f.states {
+		least = min(least, state.throttle.Share())
 	}
 	return least
 }
@@ -215,28 +218,32 @@
 	return retrySoon
 }
 
+// state returns what was learnt of a route. The caller holds the lock.
+func (f *Forwarder) state(route matcher.RouteName) *routeState {
+	state := f.states[route]
+	if state == nil {
+		state = &routeState{
+			latency:  selector.NewLatencies(hedgeShare),
+			wheel:    &wheel{},
+			throttle: selector.NewThrottle(),
+		}
+		f.states[route] = state
+	}
+	return state
+}
+
 // latency returns the estimates of a route's latency at one server.
 func (f *Forwarder) latency(route matcher.RouteName) *selector.Latencies {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	l := f.latencies[route]
-	if l == nil {
-		l = selector.NewLatencies(hedgeShare)
-		f.latencies[route] = l
-	}
-	return l
+	return f.state(route).latency
 }
 
 // wheel returns the turns of a weighted route.
 func (f *Forwarder) wheel(route matcher.RouteName) *wheel {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	w := f.wheels[route]
-	if w == nil {
-		w = &wheel{}
-		f.wheels[route] = w
-	}
-	return w
+	return f.state(route).wheel
 }
 
 // admits tells whether the servers have room for a request in time.
@@ -247,11 +254,7 @@
 	isReturn := q.request.Timeout > 0 && q.request.Timeout < returnShare*q.route.Timeout/returnParts
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	t := f.throttles[q.route.Name]
-	if t == nil {
-		t = selector.NewThrottle()
-		f.throttles[q.route.Name] = t
-	}
+	t := f.state(q.route.Name).throttle
 	isAdmitted := t.Admit(now, isCongested, isReturn)
 	q.admission = admission{isCongested: isCongested, isReturn: isReturn, share: t.Share()}
 	return isAdmitted
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -21,6 +21,12 @@
 	maxJobs = 6
 )
 
+// Names of the outcomes whose lines come before others.
+const (
+	nameRefused = "refused"
+	nameFailed  = "failed"
+)
+
 // reporter counts requests for log and metrics, and tells of those that were not answered
 // wholly and in time. It is safe for concurrent use.
 type reporter struct {
@@ -67,9 +73,9 @@
 		}
 		return verdict{name: "whole", isOrdinary: true}
 	case Refused:
-		return verdict{name: "refused", reason: o.Reason, after: o.After}
+		return verdict{name: nameRefused, reason: o.Reason, after: o.After}
 	case Failed:
-		return verdict{name: "failed", reason: o.Reason}
+		return verdict{name: nameFailed, reason: o.Reason}
 	default:
 		return verdict{name: "no_route"}
 	}
@@ -84,11 +90,12 @@
 	if v.isOrdinary && !isLate {
 		return
 	}
-	level := zerolog.InfoLevel
-	if v.name == "refused" || v.name == "failed" {
-		level = zerolog.WarnLevel
-	}
-	line := r.log.WithLevel(level).
+	r.write(q, v, elapsed)
+}
+
+// write tells of one request.
+func (r *reporter) write(q *query, v verdict, elapsed time.Duration) {
+	line := r.log.WithLevel(v.level()).
 		Str(recorder.FieldRequest, q.request.ID).
 		Str(recorder.FieldRoute, string(q.route.Name)).
 		Uint64(recorder.FieldConfiguration, q.table.Number()).
@@ -98,13 +105,11 @@
 	if v.reason != ReasonNone {
 		line = line.Stringer(recorder.FieldReason, v.reason)
 	}
-	if v.name == "refused" {
+	if v.name == nameRefused {
 		line = line.Int64(recorder.FieldRetryAfter, v.after.Milliseconds())
 	}
 	if v.reason == ReasonCongested {
-		line = line.Bool(recorder.FieldCongested, q.admission.isCongested).
-			Bool(recorder.FieldReturn, q.admission.isReturn).
-			Int64(recorder.FieldAdmitted, int64(100*q.admission.share))
+		line = q.admission.add(line)
 	}
 	if len(q.jobs) > 1 {
 		line = line.Int(recorder.FieldShards, len(q.jobs)).Int(recorder.FieldMissing, v.missing)
@@ -112,6 +117,21 @@
 	line.Array(recorder.FieldJobs, q.unusualJobs()).Msg(recorder.EventRequest)
 }
 
+// level puts what callers did not get before what was only partial or late.
+func (v verdict) level() zerolog.Level {
+	if v.name == nameRefused || v.name == nameFailed {
+		return zerolog.WarnLevel
+	}
+	return zerolog.InfoLevel
+}
+
+// add tells what an admission rested on.
+func (a admission) add(line *zerolog.Event) *zerolog.Event {
+	return line.Bool(recorder.FieldCongested, a.isCongested).
+		Bool(recorder.FieldReturn, a.isReturn).
+		Int64(recorder.FieldAdmitted, int64(100*a.share))
+}
+
 // count adds to the metrics and to the counts of the interval.
 func (r *reporter) count(now time.Time, route matcher.RouteName, v verdict, isLate bool, elapsed time.Duration) {
 	r.latency.Record(elapsed)
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -6,6 +6,10 @@
 	"banyandock.example/banyandock/internal/matcher"
 )
 
+// targetSlack is how long after the target a wake-up still counts as being in time. Timers on a
+// host with a small share of a processor are late.
+const targetSlack = 20 * time.Millisecond
+
 // gathering puts the parts of all shards of an index together.
 type gathering struct {
 	query       *query
@@ -83,10 +87,6 @@
 	return nil, q.giveUpAt()
 }
 
-// targetSlack is how long after the target a wake-up still counts as being in time. Timers on a
-// host with a small share of a processor are late.
-const targetSlack = 20 * time.Millisecond
-
 // isCritical tells whether one more missing shard is too many.
 func (g *gathering) isCritical() bool {
 	return !g.isEnough(len(g.destination.Services) - g.failed - 1)
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -149,6 +149,7 @@
 	if v == nil {
 		return elapsed
 	}
+	// What a full server turned away tells how much it has to do, not how slow it is.
 	isFull := load != nil && load.Waiting >= load.Slots
 	if !isFailure || !isFull {
 		s.record(f, elapsed, isFailure)
@@ -164,14 +165,19 @@
 		v.slowness = v.currentSlowness() + slownessGain*(ratio-v.currentSlowness())
 	}
 	if load != nil && load.Slots > 0 {
-		others := load.Running + load.Waiting - len(v.flights)
-		v.queued = max(0, float64(others)) / float64(load.Slots)
-		v.waiting = float64(load.Waiting) / float64(load.Slots)
-		v.reportedAt = now
+		v.report(now, *load)
 	}
 	return elapsed
 }
 
+// report takes in a server's word of its requests.
+func (v *server) report(now time.Time, load Load) {
+	others := load.Running + load.Waiting - len(v.flights)
+	v.queued = max(0, float64(others)) / float64(load.Slots)
+	v.waiting = float64(load.Waiting) / float64(load.Slots)
+	v.reportedAt = now
+}
+
 // Lost notes that a request ended without an answer. IsUnreachable says that the server
 // could not be connected to.
 func (s *Selector) Lost(now time.Time, f *Flight, isUnreachable bool) {
