Connections are opened ahead; a part of the repeats' slack comes back by time

Cause: on the grown sites a dock answers a scattered request every 3.5 s. Change: a warmer opens the first connection to the nearest server of each service; 30% of a host's slack returns evenly over the window instead of being burst.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -76,8 +76,10 @@
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
-	// observed is called when there are new observations of servers.
+	// observed is called when there are new observations of servers, and rehomed when there are
+	// others to hold connections to.
 	observed func()
+	rehomed  func()
 
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
@@ -111,6 +113,7 @@
 		started:  clock.Now(),
 		work:     make(chan *attempt),
 		observed: func() {},
+		rehomed:  func() {},
 		reporter: newReporter(log, metrics, clock.Now()),
 		states:   map[matcher.RouteName]*routeState{},
 	}
@@ -120,6 +123,10 @@
 // once, and is set before the first request.
 func (f *Forwarder) OnObserved(observed func()) { f.observed = observed }
 
+// OnRehomed calls a function when connections are to be held to other servers. It must return at
+// once, and is set before the first configuration.
+func (f *Forwarder) OnRehomed(rehomed func()) { f.rehomed = rehomed }
+
 // Configure puts a configuration in force unless a higher one is.
 func (f *Forwarder) Configure(t *matcher.Table) {
 	f.mutex.Lock()
@@ -134,6 +141,7 @@
 	}
 	f.selector.SetServices(connections)
 	f.forget(t)
+	f.rehomed()
 }
 
 // forget drops what was learnt of routes that are no more, so that it does not grow with the
@@ -151,7 +159,7 @@
 
 // UpdateServers replaces the servers that may be asked.
 func (f *Forwarder) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
-	f.selector.Update(services)
+	isChanged := f.selector.Update(services)
 	addresses := map[netip.AddrPort]encoder.ServerID{}
 	for _, servers := range services {
 		for _, s := range servers {
@@ -159,6 +167,9 @@
 		}
 	}
 	f.sender.Retain(addresses)
+	if isChanged {
+		f.rehomed()
+	}
 }
 
 // TakeObservations returns what was seen of the servers since the last call.
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -52,7 +52,7 @@
 
 // start asks the first server. It returns false if there is none.
 func (j *job) start(now time.Time) bool {
-	j.query.forwarder.selector.CountRequest(j.service)
+	j.query.forwarder.selector.CountRequest(now, j.service)
 	if !j.launch(now, CauseFirst, false) {
 		j.isOver = true
 		return false
@@ -91,14 +91,14 @@
 // the budget forbids it.
 func (j *job) repeat(now time.Time, cause Cause, need selector.Need) bool {
 	f := j.query.forwarder
-	if !f.selector.MayRepeat(j.service, need) {
+	if !f.selector.MayRepeat(now, j.service, need) {
 		j.trace.denied = ReasonBudget
 		return false
 	}
 	if j.launch(now, cause, true) {
 		return true
 	}
-	f.selector.ReturnRepeat(j.service)
+	f.selector.ReturnRepeat(now, j.service)
 	return false
 }
 
@@ -160,7 +160,7 @@
 		j.runs--
 		j.reason = ReasonNoServer
 		if r.attempt.isExtra {
-			j.query.forwarder.selector.ReturnRepeat(j.service)
+			j.query.forwarder.selector.ReturnRepeat(now, j.service)
 		}
 	default:
 		j.reason = ReasonLost
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -25,6 +25,7 @@
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/settingsreader"
+	"banyandock.example/banyandock/internal/warmer"
 	"banyandock.example/banyandock/internal/watcher"
 )
 
@@ -66,6 +67,7 @@
 	sender    *sender.Sender
 	forwarder *forwarder.Forwarder
 	watcher   *watcher.Watcher
+	warmer    *warmer.Warmer
 	servers   []*httpServer
 
 	isStopping atomic.Bool
@@ -92,9 +94,11 @@
 	d.sender = sender.New(wire.Protocol, p.Clock, p.Metrics.Metrics())
 	d.forwarder = forwarder.New(forwarder.Settings{
 		Domain: settings.Domain,
-		Budget: selector.BudgetLimits{Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack},
+		Budget: selector.BudgetLimits{Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack, Window: settings.RepeatWindow},
 		Seed:   uint64(p.Incarnation),
 	}, d.sender, p.Clock, p.Log, p.Metrics)
+	d.warmer = warmer.New(d.forwarder, d.sender, p.Clock, p.Metrics.Metrics())
+	d.forwarder.OnRehomed(d.warmer.Wake)
 	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, compile(wire.Compile), d.forwarder, p.Clock, p.Log)
 	d.forwarder.OnObserved(d.watcher.ObserveSoon)
 	p.OnReload(d.reload)
@@ -144,6 +148,7 @@
 		s.close()
 	}
 	d.watcher.Close()
+	d.warmer.Close()
 	_ = d.pool.Close()
 	return err
 }
@@ -203,6 +208,7 @@
 		s.shutdown(ctx)
 	}
 	d.watcher.Close()
+	d.warmer.Close()
 	d.forwarder.Close()
 	d.sender.Close()
 	return d.pool.Close()
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -1,6 +1,8 @@
 package selector
 
 import (
+	"time"
+
 	"banyandock.example/banyandock/internal/identifier"
 )
 
@@ -9,16 +11,22 @@
 	// before they are counted do not break it.
 	ratioShare = 0.9
 	// slackShare is the part of the allowed slack that the hosts split.
-	slackShare = 0.7
-	// startShare is the part of the capacity that a host starts with.
+	slackShare = 0.85
+	// burstShare is the part of a host's slack that may be spent at once. The rest comes back
+	// evenly over a window, so that a host is never without repeats for long.
+	burstShare = 0.7
+	// startShare is the part of the burst that a host starts with. A host that has restarted may
+	// have spent its repeats a moment ago.
 	startShare = 0.5
-	// lateReserve is the part of the capacity beyond one repeat that a late hedge leaves for
+	// lateReserve is the part of the burst beyond one repeat that a late hedge leaves for
 	// requests that failed, and earlyReserve what an early hedge leaves for late ones.
 	lateReserve  = 0.25
 	earlyReserve = 0.6
 	// spareReserve is what another try of a dispensable part leaves for those that decide on an
 	// answer.
 	spareReserve = 0.5
+	// defaultWindow is used if the limits name none.
+	defaultWindow = 10 * time.Second
 )
 
 // Need says how badly a repeat is needed.
@@ -36,53 +44,75 @@
 	NeedRetry
 )
 
-// BudgetLimits bound the repeats that all hosts together send to a service in any window: at
+// BudgetLimits bound the repeats that all hosts together send to a service in any Window: at
 // most Ratio times the requests in the window, and Slack.
 type BudgetLimits struct {
-	Ratio float64
-	Slack int
+	Ratio  float64
+	Slack  int
+	Window time.Duration
 }
 
 // budget counts the repeats that this host may still send to a service.
 type budget struct {
-	tokens float64
+	tokens   float64
+	refilled time.Time
+}
+
+// allowance is what one host may spend of the slack.
+type allowance struct {
+	// burst is the largest number of repeats that may follow each other at once.
+	burst float64
+	// perSecond is how many come back without any request.
+	perSecond float64
 }
 
-// capacity is the largest number of repeats that may follow each other at once. With less
-// than one a host could repeat nothing, however many requests it has had.
-func (s *Selector) capacity() float64 {
+// allowance returns this host's part of the slack. With a burst below one a host could repeat
+// nothing, however many requests it has had.
+func (s *Selector) allowance() allowance {
 	if s.limits.Ratio == 0 && s.limits.Slack == 0 {
-		return 0
+		return allowance{}
+	}
+	part := slackShare * float64(s.limits.Slack) / float64(s.docks)
+	burst := max(1, burstShare*part)
+	return allowance{burst: burst, perSecond: max(0, part-burst) / s.window().Seconds()}
+}
+
+// window is the time over which repeats are counted.
+func (s *Selector) window() time.Duration {
+	if s.limits.Window <= 0 {
+		return defaultWindow
 	}
-	return max(1, slackShare*float64(s.limits.Slack)/float64(s.docks))
+	return s.limits.Window
 }
 
-// budget returns the budget of a service, full at first.
-func (s *Selector) budget(service identifier.ServiceName) *budget {
+// budget returns the budget of a service with what has come back until now.
+func (s *Selector) budget(now time.Time, service identifier.ServiceName) (*budget, allowance) {
+	a := s.allowance()
 	b := s.budgets[service]
 	if b == nil {
-		// A host that has restarted may have spent its repeats a moment ago.
-		b = &budget{tokens: startShare * s.capacity()}
+		b = &budget{tokens: startShare * a.burst, refilled: now}
 		s.budgets[service] = b
 	}
-	return b
+	b.tokens = min(a.burst, b.tokens+a.perSecond*max(0, now.Sub(b.refilled)).Seconds())
+	b.refilled = now
+	return b, a
 }
 
 // CountRequest adds to a service's budget what one request allows.
-func (s *Selector) CountRequest(service identifier.ServiceName) {
+func (s *Selector) CountRequest(now time.Time, service identifier.ServiceName) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	b := s.budget(service)
-	b.tokens = min(s.capacity(), b.tokens+ratioShare*s.limits.Ratio)
+	b, a := s.budget(now, service)
+	b.tokens = min(a.burst, b.tokens+ratioShare*s.limits.Ratio)
 }
 
 // MayRepeat takes one repeat from a service's budget, if enough is left for those that are
 // needed more.
-func (s *Selector) MayRepeat(service identifier.ServiceName, need Need) bool {
+func (s *Selector) MayRepeat(now time.Time, service identifier.ServiceName, need Need) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	b := s.budget(service)
-	if b.tokens < 1+s.reserve(need) {
+	b, a := s.budget(now, service)
+	if b.tokens < 1+a.reserve(need) {
 		return false
 	}
 	b.tokens--
@@ -90,8 +120,8 @@
 }
 
 // reserve is what a repeat must leave in the budget.
-func (s *Selector) reserve(need Need) float64 {
-	spare := max(0, s.capacity()-1)
+func (a allowance) reserve(need Need) float64 {
+	spare := max(0, a.burst-1)
 	switch need {
 	case NeedEarly:
 		return earlyReserve * spare
@@ -105,8 +135,9 @@
 }
 
 // ReturnRepeat gives back a repeat that never left.
-func (s *Selector) ReturnRepeat(service identifier.ServiceName) {
+func (s *Selector) ReturnRepeat(now time.Time, service identifier.ServiceName) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.budget(service).tokens++
+	b, _ := s.budget(now, service)
+	b.tokens++
 }
--- a/internal/selector/home.go
+++ b/internal/selector/home.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -69,6 +70,21 @@
 	for i, v := range ranked {
 		v.isAway = i >= homes
 	}
+	s.homes[service] = ranked[:homes]
+}
+
+// Homes returns the servers of a service that this host holds connections to and that can be
+// reached as far as it knows, at most as many as asked for, the nearest first.
+func (s *Selector) Homes(now time.Time, service identifier.ServiceName, most int) []Target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	targets := []Target{}
+	for _, v := range s.homes[service] {
+		if len(targets) < most && !v.info.Silent && !now.Before(v.blockedUntil) {
+			targets = append(targets, Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain})
+		}
+	}
+	return targets
 }
 
 // homeCount is how many of a service's servers each host holds connections to.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -4,6 +4,7 @@
 package selector
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -40,9 +41,11 @@
 	random   *rand.Rand
 	servers  map[encoder.ServerID]*server
 	services map[identifier.ServiceName][]*server
-	budgets  map[identifier.ServiceName]*budget
-	limits   BudgetLimits
-	docks    int
+	// homes are the servers of each service that this host holds connections to, nearest first.
+	homes   map[identifier.ServiceName][]*server
+	budgets map[identifier.ServiceName]*budget
+	limits  BudgetLimits
+	docks   int
 	// connections are how many each server of a service accepts.
 	connections map[identifier.ServiceName]int
 	// verdicts are the servers that most docks find slow.
@@ -60,6 +63,7 @@
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		servers:  map[encoder.ServerID]*server{},
 		services: map[identifier.ServiceName][]*server{},
+		homes:    map[identifier.ServiceName][]*server{},
 		budgets:  map[identifier.ServiceName]*budget{},
 		limits:   limits,
 		docks:    1,
@@ -69,8 +73,9 @@
 	}
 }
 
-// Update replaces the servers. What was seen of those that stay is kept.
-func (s *Selector) Update(services map[identifier.ServiceName][]locator.Server) {
+// Update replaces the servers, and tells whether those of any service are others. What was seen
+// of those that stay is kept.
+func (s *Selector) Update(services map[identifier.ServiceName][]locator.Server) (isChanged bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	kept := map[encoder.ServerID]*server{}
@@ -89,11 +94,17 @@
 	}
 	s.compareServers(s.servers, kept)
 	s.servers = kept
+	maps.DeleteFunc(s.homes, func(name identifier.ServiceName, _ []*server) bool {
+		_, ok := s.services[name]
+		return !ok
+	})
 	for name, list := range s.services {
 		if !slices.Equal(list, before[name]) {
 			s.settle(name)
+			isChanged = true
 		}
 	}
+	return isChanged
 }
 
 // SetDocks tells among how many hosts the budget of repeats is split.
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -187,13 +187,15 @@
 		}
 		requests, repeats := [60]int{}, [60]int{}
 		for second := range requests {
-			for _, s := range hosts {
+			for i, s := range hosts {
+				// Hosts draw their moments within the second.
+				now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Millisecond)
 				n := rapid.IntRange(0, 20).Draw(r, "requests")
 				requests[second] += n
 				for range n {
-					s.CountRequest("plates")
+					s.CountRequest(now, "plates")
 					for _, need := range []selector.Need{selector.NeedEarly, selector.NeedLate, selector.NeedRetry, selector.NeedRetry} {
-						if s.MayRepeat("plates", need) {
+						if s.MayRepeat(now, "plates", need) {
 							repeats[second]++
 						}
 					}
@@ -214,19 +216,20 @@
 
 func TestBudgetKeepsRepeatsForFailures(t *testing.T) {
 	s := selector.New("one", selector.BudgetLimits{Ratio: 0.2, Slack: 20}, 1)
+	now := start
 	for range 100 {
-		s.CountRequest("plates")
+		s.CountRequest(now, "plates")
 	}
 	count := func(need selector.Need) int {
 		n := 0
-		for s.MayRepeat("plates", need) {
+		for s.MayRepeat(now, "plates", need) {
 			n++
 		}
 		return n
 	}
 	early, late, retries := count(selector.NeedEarly), count(selector.NeedLate), count(selector.NeedRetry)
 	assert.Assert(t, early > 0 && late > 0 && retries > 0, "%d %d %d", early, late, retries)
-	s.ReturnRepeat("plates")
+	s.ReturnRepeat(now, "plates")
 	assert.Equal(t, count(selector.NeedRetry), 1)
 }
 
--- a/internal/selector/spare_test.go
+++ b/internal/selector/spare_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,20 +20,23 @@
 		shedding   = 5
 		mayBeGone  = 2
 		turnedAway = 0.45
+		// queryInterval is that of one of 20 hosts which share 90 queries a second.
+		queryInterval = 220 * time.Millisecond
 	)
 	random := rand.New(rand.NewPCG(3, 4))
 	s := selector.New("one", selector.BudgetLimits{Ratio: 0.2, Slack: 130}, 1)
 	s.SetDocks(20)
 	failed := 0
-	for range queries {
+	for i := range queries {
+		now := start.Add(time.Duration(i) * queryInterval)
 		missing := 0
-		for _, i := range random.Perm(shedding) {
-			service := identifier.ServiceName(rune('a' + i))
-			s.CountRequest(service)
+		for _, shard := range random.Perm(shedding) {
+			service := identifier.ServiceName(rune('a' + shard))
+			s.CountRequest(now, service)
 			if random.Float64() >= turnedAway {
 				continue
 			}
-			if s.MayRepeat(service, needOf(missing)) && random.Float64() >= turnedAway {
+			if s.MayRepeat(now, service, needOf(missing)) && random.Float64() >= turnedAway {
 				continue
 			}
 			missing++
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -77,7 +78,7 @@
 	for len(p.idle) > 0 {
 		c = p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Before(c.usableUntil) && c.isQuiet() {
+		if c.isUsable(now) {
 			return c, false, nil, nil
 		}
 		_ = c.socket.Close()
@@ -117,17 +118,34 @@
 	p.freed = make(chan struct{})
 }
 
-// warm opens connections until there are as many as wanted.
-func (p *pool) warm(ctx context.Context, to Destination, wanted int) error {
+// prune closes the idle connections that cannot be used any more.
+func (p *pool) prune() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.sender.clock.Now()
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		if c.isUsable(now) {
+			return false
+		}
+		_ = c.socket.Close()
+		p.open--
+		return true
+	})
+}
+
+// warm opens connections until there are as many as wanted, and returns how many it opened.
+func (p *pool) warm(ctx context.Context, to Destination, wanted int) (int, error) {
+	opened := 0
 	for p.wants(to, wanted) {
 		c, err := p.dial(ctx)
 		if err != nil {
-			return err
+			return opened, err
 		}
 		c.usableUntil = p.sender.clock.Now().Add(defaultIdleLimit - idleMargin)
 		p.release(c, true)
+		opened++
 	}
-	return nil
+	return opened, nil
 }
 
 // wants counts a further connection as open if there are fewer than wanted.
@@ -163,6 +181,11 @@
 	p.freed = make(chan struct{})
 }
 
+// isUsable tells whether an idle connection can carry a request.
+func (c *connection) isUsable(now time.Time) bool {
+	return now.Before(c.usableUntil) && c.isQuiet()
+}
+
 // isQuiet tells whether an idle connection is open and has delivered nothing. Bytes that
 // arrive while no request is outstanding belong to no request.
 func (c *connection) isQuiet() bool {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -194,12 +194,14 @@
 	return reply, err
 }
 
-// Warm opens connections until a server has as many as wanted.
-func (s *Sender) Warm(ctx context.Context, to Destination, wanted int) error {
+// Warm closes the idle connections to a server that have ended, opens others until there are as
+// many as wanted, and returns how many it opened.
+func (s *Sender) Warm(ctx context.Context, to Destination, wanted int) (int, error) {
 	p := s.pool(to.Address)
 	if p == nil {
-		return eris.Wrap(ErrNotSent, "the sender is closed")
+		return 0, eris.Wrap(ErrNotSent, "the sender is closed")
 	}
+	p.prune()
 	return p.warm(ctx, to, wanted)
 }
 
--- a/internal/settingsreader/route.go
+++ b/internal/settingsreader/route.go
@@ -19,6 +19,9 @@
 	votersOfDomains = 5
 	// maxBudgetSlack bounds repeat_slack.
 	maxBudgetSlack = 1_000_000
+	// defaultRepeatWindow and maxRepeatWindow are for repeat_window.
+	defaultRepeatWindow = 10 * time.Second
+	maxRepeatWindow     = time.Hour
 	// maxMemory bounds memory_limit_mb.
 	maxMemory = 1 << 20
 	// maxHeartbeat bounds heartbeat_interval.
@@ -43,9 +46,11 @@
 	CallerAddress netip.AddrPort
 	// ReadinessAddress is where the balancer asks whether this dock takes callers.
 	ReadinessAddress netip.AddrPort
-	// RepeatRatio and RepeatSlack bound the repeats that all docks together send to a service.
-	RepeatRatio float64
-	RepeatSlack int
+	// RepeatRatio and RepeatSlack bound the repeats that all docks together send to a service in
+	// any RepeatWindow.
+	RepeatRatio  float64
+	RepeatSlack  int
+	RepeatWindow time.Duration
 	// DrainGrace is how long the dock serves on after its readiness went off.
 	DrainGrace time.Duration
 	// FinishTimeout is how long the dock then waits for requests in flight.
@@ -115,6 +120,7 @@
 		ReadinessAddress: tomlreader.Required(t, "readiness_address", tomlreader.Address),
 		RepeatRatio:      tomlreader.Required(t, "repeat_ratio", tomlreader.Number(0, 1)),
 		RepeatSlack:      int(tomlreader.Required(t, "repeat_slack", tomlreader.Integer(0, maxBudgetSlack))),
+		RepeatWindow:     tomlreader.Optional(t, "repeat_window", defaultRepeatWindow, tomlreader.Duration(time.Second, maxRepeatWindow)),
 		DrainGrace:       tomlreader.Optional(t, "drain_grace", defaultDrainGrace, tomlreader.Duration(0, maxDrainGrace)),
 		FinishTimeout:    tomlreader.Optional(t, "finish_timeout", defaultFinishTimeout, tomlreader.Duration(0, maxFinishTimeout)),
 	}
--- /dev/null
+++ b/internal/warmer/warmer_test.go
@@ -0,0 +1,98 @@
+package warmer_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/timekeeper"
+	"banyandock.example/banyandock/internal/warmer"
+)
+
+// servers is a directory, and opens connections that end when they are told to.
+type servers struct {
+	mutex  sync.Mutex
+	list   []sender.Destination
+	open   map[netip.AddrPort]bool
+	dead   map[netip.AddrPort]bool
+	opened []time.Time
+}
+
+func (s *servers) Homes(time.Time) []sender.Destination {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.list
+}
+
+func (s *servers) Warm(_ context.Context, to sender.Destination, _ int) (int, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.dead[to.Address] {
+		return 0, errors.New("refused")
+	}
+	if s.open[to.Address] {
+		return 0, nil
+	}
+	s.open[to.Address] = true
+	s.opened = append(s.opened, time.Now())
+	return 1, nil
+}
+
+func (s *servers) add(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for range n {
+		port := uint16(1 + len(s.list))
+		s.list = append(s.list, sender.Destination{ID: encoder.ServerID("s"), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), port)})
+	}
+}
+
+func (s *servers) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.opened)
+}
+
+// TestConnectionsAreOpenBeforeRequestsCome replays a host that starts 14 s before its first
+// query to 90 shards.
+func TestConnectionsAreOpenBeforeRequestsCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{open: map[netip.AddrPort]bool{}, dead: map[netip.AddrPort]bool{}}
+		w := warmer.New(s, s, timekeeper.System{}, metrics.NewRegistry())
+		defer w.Close()
+		s.add(90)
+		w.Wake()
+		time.Sleep(time.Second)
+		assert.Equal(t, s.count(), 90)
+		for i := 1; i < 90; i++ {
+			assert.Assert(t, s.opened[i].Sub(s.opened[i-1]) >= 5*time.Millisecond, "the processor is left to requests")
+		}
+	})
+}
+
+func TestEndedConnectionsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{open: map[netip.AddrPort]bool{}, dead: map[netip.AddrPort]bool{}}
+		s.add(3)
+		s.dead[s.list[0].Address] = true
+		w := warmer.New(s, s, timekeeper.System{}, metrics.NewRegistry())
+		defer w.Close()
+		time.Sleep(time.Second)
+		assert.Equal(t, s.count(), 2, "a server that refuses does not keep the others waiting")
+		s.mutex.Lock()
+		clear(s.open)
+		clear(s.dead)
+		s.mutex.Unlock()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, s.count(), 5)
+	})
+}
