Shards of wide queries are sent to by owners in each failure domain

Cause: on the grown sites a dock has 0.134 cores and each of 90 shards cost it some 200 us of them (13 us a system call, 106 us to parse a reply; measured on a copy with a clock around each step), so that the first reply was read 10 ms and the ninetieth 20 to 60 ms after the request, past the 28 ms that a probe has. Each dock knew 270 servers from one request in 3.5 s and shared the repeats with 101 others. Change: keepers tell docks their fellows in the failure domain; assigner divides 40 shards or more into groups of ten and names the dock that owns each; the root sends one message an owner, and the owner does what the dock did, with 0.3 of the repeats' slack split among three or four owners and connections of its own. Until the root has taken a reply in, the owner has a shard run once only, so that a silent owner may be replaced by one more run within the route's attempts.

--- /dev/null
+++ b/internal/assigner/assigner_test.go
@@ -0,0 +1,75 @@
+package assigner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"banyandock.example/banyandock/internal/assigner"
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+)
+
+func shards(n int) []identifier.ServiceName {
+	list := []identifier.ServiceName{}
+	for i := range n {
+		list = append(list, identifier.ServiceName(fmt.Sprintf("shard-%d", i)))
+	}
+	return list
+}
+
+func docks(n int) []encoder.Dock {
+	list := []encoder.Dock{}
+	for i := range n {
+		list = append(list, encoder.Dock{Host: identifier.HostName(fmt.Sprintf("dock-%d", i))})
+	}
+	return list
+}
+
+func TestFewShardsHaveNoOwners(t *testing.T) {
+	assert.Assert(t, assigner.Assign(shards(20), docks(15)) == nil)
+	assert.Assert(t, assigner.Assign(shards(90), docks(17)) == nil, "each group needs two docks")
+}
+
+// TestEveryShardHasOneOwner holds for any number of shards and docks.
+func TestEveryShardHasOneOwner(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n, m := rapid.IntRange(1, 300).Draw(r, "shards"), rapid.IntRange(0, 80).Draw(r, "docks")
+		groups := assigner.Assign(shards(n), docks(m))
+		if groups == nil {
+			return
+		}
+		all, used := []identifier.ServiceName{}, map[identifier.HostName]bool{}
+		for _, g := range groups {
+			all = append(all, g.Services...)
+			for _, d := range []encoder.Dock{g.Owner, g.Second} {
+				if d.Host == "" || used[d.Host] {
+					r.Fatalf("%q is no dock, or has two groups", d.Host)
+				}
+				used[d.Host] = true
+			}
+		}
+		if !slices.Equal(all, shards(n)) {
+			r.Fatalf("%d of %d shards are owned", len(all), n)
+		}
+	})
+}
+
+// TestLostDockMovesFewGroups takes docks away from 34 that own 90 shards.
+func TestLostDockMovesFewGroups(t *testing.T) {
+	before := assigner.Assign(shards(90), docks(34))
+	moved := 0
+	for lost := range 34 {
+		after := assigner.Assign(shards(90), slices.Delete(docks(34), lost, lost+1))
+		for i := range before {
+			if before[i].Owner.Host != after[i].Owner.Host {
+				moved++
+			}
+		}
+	}
+	// Nine losses take an owner away. An owner that is promoted may push another one on.
+	assert.Assert(t, moved >= 9 && moved <= 18, "%d groups moved", moved)
+}
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -31,8 +31,6 @@
 	// batchTime is how long changes of the directory are collected before a dock hears of them.
 	// While an index is cut anew, hundreds of servers announce themselves in a second.
 	batchTime = 100 * time.Millisecond
-	// dockTime is how long a dock counts after its last watch.
-	dockTime = 5 * time.Second
 )
 
 // Standing is what the broadcaster tells of the agreement.
@@ -68,7 +66,7 @@
 	// changes are the last ones; base is the number of those before.
 	changes []encoder.Registration
 	base    uint64
-	docks   map[identifier.HostName]time.Time
+	docks   *fleet
 	waking  wakes
 	// saved is the number of the last change that is on the shelf.
 	saved uint64
@@ -86,7 +84,7 @@
 		stop:     make(chan struct{}),
 		book:     locator.NewBook(silence),
 		judge:    locator.NewJudge(),
-		docks:    map[identifier.HostName]time.Time{},
+		docks:    newFleet(),
 		waking:   wakes{changed: make(chan struct{}), urgent: make(chan struct{})},
 	}
 	b.restore()
@@ -275,6 +273,7 @@
 		case <-timer.C:
 			isDue = true
 		case <-ctx.Done():
+			b.leave(dock)
 			isDue = true
 		case <-b.stop:
 			isDue = true
@@ -282,6 +281,13 @@
 	}
 }
 
+// leave notes that a dock's watch broke off: it is no fellow to others until it watches again.
+func (b *Broadcaster) leave(dock identifier.HostName) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.docks.leave(dock)
+}
+
 // news says what there is to tell a dock.
 type news uint8
 
@@ -308,9 +314,9 @@
 	waking := b.waking
 	s := b.standing()
 	now := b.clock.Now()
-	b.docks[dock] = now
+	b.docks.hear(now, dock, request.Dock)
 	reply := b.reply(s, request)
-	reply.Docks = b.countDocks(now)
+	b.addDocks(&reply, request, now)
 	b.addServers(&reply, request, now)
 	switch {
 	case isUrgent(reply, request):
@@ -344,6 +350,17 @@
 	return reply
 }
 
+// addDocks adds how many docks there are and, on the leader, the sender's fellows if it knows
+// others. The caller holds the lock.
+func (b *Broadcaster) addDocks(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
+	reply.Docks, reply.Domains = b.docks.count(now)
+	fellows, digest := b.docks.fellows(request.Dock.Domain)
+	reply.FellowsDigest = digest
+	if reply.IsLeader && digest != request.FellowsDigest {
+		reply.Fellows = fellows
+	}
+}
+
 // addServers adds the changes that a dock has not seen, or the whole directory if they are not
 // kept any more or the dock watched another start of the keeper. The caller holds the lock.
 func (b *Broadcaster) addServers(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
@@ -364,13 +381,3 @@
 	isNews := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest
 	return reply.IsLeader && isNews
 }
-
-// countDocks returns how many docks watch this keeper. The caller holds the lock.
-func (b *Broadcaster) countDocks(now time.Time) int {
-	for name, heard := range b.docks {
-		if now.Sub(heard) > dockTime+maxWait {
-			delete(b.docks, name)
-		}
-	}
-	return len(b.docks)
-}
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -83,4 +83,8 @@
 	KindDepart
 	// KindObserve carries an ObserveNotice from a dock to the leading keeper.
 	KindObserve
+	// KindGather carries a GatherRequest from a dock to the owner of some shards.
+	KindGather
+	// KindMore carries a MoreRequest from a dock to the owner of some shards.
+	KindMore
 )
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobserve"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermore"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobserve"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermore"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -41,9 +41,11 @@
 	_ = x[KindConfirm-14]
 	_ = x[KindDepart-15]
 	_ = x[KindObserve-16]
+	_ = x[KindGather-17]
+	_ = x[KindMore-18]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:     KindNone,
@@ -63,6 +65,8 @@
 	_KindName[91:98]:   KindConfirm,
 	_KindName[98:104]:  KindDepart,
 	_KindName[104:111]: KindObserve,
+	_KindName[111:117]: KindGather,
+	_KindName[117:121]: KindMore,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -83,6 +87,8 @@
 	_KindLowerName[91:98]:   KindConfirm,
 	_KindLowerName[98:104]:  KindDepart,
 	_KindLowerName[104:111]: KindObserve,
+	_KindLowerName[111:117]: KindGather,
+	_KindLowerName[117:121]: KindMore,
 }
 
 var _KindNames = []string{
@@ -103,6 +109,8 @@
 	_KindName[91:98],
 	_KindName[98:104],
 	_KindName[104:111],
+	_KindName[111:117],
+	_KindName[117:121],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -59,7 +59,10 @@
 	MembersDigest uint64
 	// VerdictsDigest identifies the verdicts that the dock knows.
 	VerdictsDigest uint64
-	Wait           time.Duration
+	// Dock describes the sender, and FellowsDigest identifies the docks that it knows.
+	Dock          Dock
+	FellowsDigest uint64
+	Wait          time.Duration
 }
 
 // WatchReply answers a WatchRequest.
@@ -84,8 +87,14 @@
 	// if its digest is the one that the dock knows.
 	Verdicts       []Verdict
 	VerdictsDigest uint64
-	// Docks is the number of docks that watch this keeper.
-	Docks int
+	// Docks is the number of docks that watch this keeper, and Domains that of their failure
+	// domains.
+	Docks   int
+	Domains int
+	// Fellows are, on the leader, the docks in the failure domain of the dock that asks. The list
+	// is left out if its digest is the one that the dock knows.
+	Fellows       []Dock
+	FellowsDigest uint64
 }
 
 // Observation sums up what one dock saw of one server in an interval.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/measurer"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/timekeeper"
@@ -35,6 +36,8 @@
 	// returnShare of returnParts of a route's timeout is what a request has left at most that
 	// was turned away before.
 	returnShare, returnParts = 9, 10
+	// stopInterval is how often a dock that stops looks whether other docks' requests are over.
+	stopInterval = 20 * time.Millisecond
 	// leastRetry is the shortest time that callers are told to wait.
 	leastRetry = 200 * time.Millisecond
 	// hedgeShare is the quantile of a route's latency after which a second server is asked.
@@ -57,12 +60,17 @@
 	Domain identifier.DomainName
 	Budget selector.BudgetLimits
 	Seed   uint64
+	// Host is this dock's name. Peers carries messages to others; without it, this dock sends to
+	// all shards itself.
+	Host  identifier.HostName
+	Peers Peers
 }
 
 // Forwarder answers requests. It is safe for concurrent use.
 type Forwarder struct {
 	// Set at creation.
 	clock    timekeeper.Clock
+	log      zerolog.Logger
 	selector *selector.Selector
 	sender   *sender.Sender
 	reporter *reporter
@@ -84,9 +92,15 @@
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
 
+	// owners knows which docks send to which shards.
+	owners *owners
+
 	// Guarded by mutex.
 	mutex  sync.Mutex
 	states map[matcher.RouteName]*routeState
+	// batches are the queries of other docks.
+	batches    map[batchKey]*batch
+	isStopping bool
 }
 
 // routeState is what was learnt of a route, and outlives configurations that keep the route.
@@ -108,6 +122,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		clock:    clock,
+		log:      log,
 		selector: chooser,
 		sender:   s,
 		started:  clock.Now(),
@@ -116,6 +131,8 @@
 		rehomed:  func() {},
 		reporter: newReporter(log, metrics, clock.Now()),
 		states:   map[matcher.RouteName]*routeState{},
+		batches:  map[batchKey]*batch{},
+		owners:   &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspects: map[netip.AddrPort]time.Time{}},
 	}
 }
 
@@ -141,9 +158,25 @@
 	}
 	f.selector.SetServices(connections)
 	f.forget(t)
+	f.replan()
+}
+
+// replan divides the sending among docks anew.
+func (f *Forwarder) replan() {
+	ownership := f.owners.plan(f.table.Load())
+	if f.selector.SetOwnership(ownership) {
+		f.log.Info().Int(recorder.FieldCount, len(ownership.Owned)).
+			Int(recorder.FieldFellows, f.owners.countFellows()).Msg(recorder.EventOwners)
+	}
 	f.rehomed()
 }
 
+// SetFellows replaces the docks of this one's failure domain.
+func (f *Forwarder) SetFellows(fellows []encoder.Dock) {
+	f.owners.setFellows(fellows)
+	f.replan()
+}
+
 // forget drops what was learnt of routes that are no more, so that it does not grow with the
 // number of configurations. The caller holds the lock.
 func (f *Forwarder) forget(t *matcher.Table) {
@@ -192,9 +225,13 @@
 	return least
 }
 
-// SetDocks tells how many hosts share the budget of repeats and the servers' connections.
-func (f *Forwarder) SetDocks(n int) {
-	f.selector.SetDocks(n)
+// SetDocks tells how many hosts share the budget of repeats and the servers' connections, and in
+// how many failure domains they are.
+func (f *Forwarder) SetDocks(docks, domains int) {
+	f.selector.SetDocks(docks)
+	if f.owners.setDomains(domains) {
+		f.replan()
+	}
 }
 
 // Close ends all requests to backend servers and waits for them.
--- a/internal/forwarder/homes.go
+++ b/internal/forwarder/homes.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
 	"banyandock.example/banyandock/internal/sender"
@@ -18,6 +19,9 @@
 	}
 	byRank := [warmHomes][]sender.Destination{}
 	for _, s := range table.Services() {
+		if f.selector.IsStranger(s.Name) {
+			continue
+		}
 		connections := f.selector.Connections(s.Name)
 		for rank, target := range f.selector.Homes(now, s.Name, warmHomes) {
 			to := sender.Destination{Address: target.Address, ID: target.ID, Connections: connections}
@@ -30,3 +34,11 @@
 	}
 	return list
 }
+
+// ConnectPeers opens the links to the owners of shards.
+func (f *Forwarder) ConnectPeers(ctx context.Context) {
+	for _, address := range f.owners.addresses() {
+		// A dock that cannot be reached shows when it is asked.
+		_ = f.owners.peers.Connect(ctx, address)
+	}
+}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -28,6 +28,10 @@
 	runs    int
 	sends   int
 	isOver  bool
+	// attempts bounds the runs.
+	attempts int
+	// isParked is set while the job waits for the leave to run once more.
+	isParked bool
 	// failure is a server's own failure, which is passed on if nobody does better.
 	failure *sender.Reply
 	reason  Reason
@@ -39,15 +43,20 @@
 
 // result is what became of a job: a reply, or the reason why there is none.
 type result struct {
-	reply  *sender.Reply
-	reason Reason
+	service identifier.ServiceName
+	reply   *sender.Reply
+	reason  Reason
 	// hasRun says that a server may have run the request.
 	hasRun bool
 }
 
 // newJob prepares a request to one service.
 func newJob(q *query, service identifier.ServiceName, latency *selector.Latencies) *job {
-	return &job{query: q, service: service, latency: latency}
+	attempts := q.route.Attempts
+	if attempts <= 0 {
+		attempts = defaultAttempts
+	}
+	return &job{query: q, service: service, latency: latency, attempts: attempts}
 }
 
 // start asks the first server. It returns false if there is none.
@@ -75,6 +84,10 @@
 	if j.isOver || j.hedgeAt.IsZero() || now.Before(j.hedgeAt) {
 		return
 	}
+	if j.needsLeave() {
+		j.isParked = true
+		return
+	}
 	need := selector.NeedEarly
 	if !now.Before(j.latestAt) {
 		need = selector.NeedLate
@@ -104,11 +117,13 @@
 
 // mayRunMore tells whether a further server may run the request.
 func (j *job) mayRunMore() bool {
-	attempts := j.query.route.Attempts
-	if attempts <= 0 {
-		attempts = defaultAttempts
-	}
-	return j.runs < attempts && j.sends < maxSends
+	return j.runs < j.attempts && j.sends < maxSends
+}
+
+// needsLeave tells whether the job may run once more only with the leave of the dock that
+// delegated it.
+func (j *job) needsLeave() bool {
+	return j.query.isHeld && j.runs > 0 && j.mayRunMore()
 }
 
 // launch sends the request to the best server that was not asked yet. It returns false if
@@ -168,7 +183,25 @@
 	if j.retry(now, isFree) || j.running > 0 {
 		return result{}, false
 	}
-	return j.finish(result{reply: j.failure, reason: j.reason, hasRun: j.runs > 0})
+	return j.finish(j.failed())
+}
+
+// failed is the result of a job that no server answered with success.
+func (j *job) failed() result {
+	return result{reply: j.failure, reason: j.reason, hasRun: j.runs > 0}
+}
+
+// resume goes on with the leave to run once more. It returns the job's result if it has none of
+// it left to try.
+func (j *job) resume(now time.Time) (result, bool) {
+	if j.isOver || !j.isParked {
+		return result{}, false
+	}
+	j.isParked = false
+	if j.running > 0 || j.retry(now, false) {
+		return result{}, false
+	}
+	return j.finish(j.failed())
 }
 
 // retry asks another server in the place of one that failed. It returns false if that is not
@@ -178,6 +211,10 @@
 	if !mayRepeat || !j.mayRunMore() {
 		return false
 	}
+	if j.needsLeave() {
+		j.isParked = true
+		return true
+	}
 	if isFree {
 		return j.launch(now, CauseRetry, false)
 	}
@@ -191,6 +228,7 @@
 // finish ends the job.
 func (j *job) finish(r result) (result, bool) {
 	j.isOver = true
+	r.service = j.service
 	return r, true
 }
 
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"banyandock.example/banyandock/internal/identifier"
@@ -26,10 +27,13 @@
 // query is one request that is being answered, in the goroutine that asked for it.
 type query struct {
 	forwarder *Forwarder
-	table     *matcher.Table
-	route     *matcher.Route
-	request   *Request
-	prepared  *sender.Prepared
+	// table is nil for a query of another dock.
+	table *matcher.Table
+	// number is that of the configuration.
+	number   uint64
+	route    *matcher.Route
+	request  *Request
+	prepared *sender.Prepared
 	// deadline is when the caller gives up, or the route's timeout ends.
 	deadline time.Time
 	// target is when an answer must leave to be in time. It is zero without a target.
@@ -41,6 +45,12 @@
 	// jobs are the requests to the services of the route, and collector makes the outcome.
 	jobs      []*job
 	collector collector
+	// remotes are the shards that other docks send to, and their replies come by replies.
+	remotes []*remote
+	replies chan remoteReply
+	// isHeld says that no job may run more than once yet. An end of leave allows it.
+	isHeld bool
+	leave  chan struct{}
 	// results receives the ends of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -81,15 +91,15 @@
 		deadline = r.Arrived.Add(r.Timeout)
 	}
 	q := &query{
-		forwarder: f, table: t, route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
+		forwarder: f, table: t, number: t.Number(), route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
 		finished: make(chan struct{}),
 	}
+	q.ctx, q.cancel = context.WithDeadline(f.ctx, deadline)
+	q.detach = context.AfterFunc(ctx, q.cancel)
 	if route.LatencyTarget > 0 {
 		remaining := route.LatencyTarget - answerMargin - spentBefore(route, r) - f.overshoot.margin()
 		q.target = r.Arrived.Add(max(route.LatencyTarget/2, remaining))
 	}
-	q.ctx, q.cancel = context.WithDeadline(f.ctx, deadline)
-	q.detach = context.AfterFunc(ctx, q.cancel)
 	return q
 }
 
@@ -148,52 +158,68 @@
 // run asks services until the collector has an outcome.
 func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
 	q.collector = c
-	q.start(services)
-	for _, j := range q.jobs {
-		if j.isOver {
-			if o := c.ended(result{reason: ReasonNoServer}); o != nil {
-				return o
-			}
-		}
+	q.results = make(chan attemptResult, len(services))
+	if o := q.start(q.delegate(services)); o != nil {
+		return o
 	}
 	timer := q.forwarder.clock.NewTimer(0)
 	defer timer.Stop()
 	for {
 		now := q.forwarder.clock.Now()
 		o, next := c.due(now)
+		if o == nil {
+			o = q.replaceSilent(now)
+		}
 		if o != nil {
 			return o
 		}
-		timer.Reset(q.hedge(now, next).Sub(now))
-		select {
-		case r := <-q.results:
-			if o := q.take(c, r); o != nil {
-				return o
-			}
-		case <-timer.C:
-		case <-q.ctx.Done():
-			return Failed{Reason: ReasonCallerLeft}
+		timer.Reset(q.nextWake(now, next).Sub(now))
+		if o := q.wait(timer.C); o != nil {
+			return o
 		}
 	}
 }
 
+// wait takes in the next event. It returns the outcome if that brings it.
+func (q *query) wait(wake <-chan time.Time) Outcome {
+	select {
+	case r := <-q.results:
+		return q.take(r)
+	case r := <-q.replies:
+		return q.takeReply(q.forwarder.clock.Now(), r)
+	case <-q.leave:
+		return q.release(q.forwarder.clock.Now())
+	case <-wake:
+		return nil
+	case <-q.ctx.Done():
+		return Failed{Reason: ReasonCallerLeft}
+	}
+}
+
 // start asks a server of each service.
-func (q *query) start(services []identifier.ServiceName) {
-	q.results = make(chan attemptResult, len(services))
-	q.jobs = make([]*job, 0, len(services))
+func (q *query) start(services []identifier.ServiceName) Outcome {
 	latency := q.forwarder.latency(q.route.Name)
+	began := len(q.jobs)
 	for _, s := range services {
 		j := newJob(q, s, latency)
 		q.jobs = append(q.jobs, j)
 		j.start(q.forwarder.clock.Now())
 	}
+	for _, j := range q.jobs[began:] {
+		if j.isOver {
+			if o := q.collector.ended(result{service: j.service, reason: ReasonNoServer}); o != nil {
+				return o
+			}
+		}
+	}
+	return nil
 }
 
 // take gives an attempt's end, and others that have come meanwhile, to their jobs.
-func (q *query) take(c collector, r attemptResult) Outcome {
+func (q *query) take(r attemptResult) Outcome {
 	for {
 		if ended, isOver := r.attempt.job.take(q.forwarder.clock.Now(), r); isOver {
-			if o := c.ended(ended); o != nil {
+			if o := q.collector.ended(ended); o != nil {
 				return o
 			}
 		}
@@ -205,18 +231,58 @@
 	}
 }
 
-// hedge asks second servers where it is time, and returns the earlier of a moment and that of
-// the next hedge.
-func (q *query) hedge(now, next time.Time) time.Time {
+// release lets jobs run more than once, as far as the route allows it.
+func (q *query) release(now time.Time) Outcome {
+	q.isHeld = false
+	for _, j := range q.jobs {
+		if ended, isOver := j.resume(now); isOver {
+			if o := q.collector.ended(ended); o != nil {
+				return o
+			}
+		}
+	}
+	return nil
+}
+
+// nextWake asks second servers where it is time, and returns the earliest of a moment, that of
+// the next hedge and that at which an owner counts as silent.
+func (q *query) nextWake(now, next time.Time) time.Time {
 	for _, j := range q.jobs {
 		j.hedge(now)
-		if !j.isOver && !j.hedgeAt.IsZero() && j.hedgeAt.Before(next) {
+		if !j.isOver && !j.isParked && !j.hedgeAt.IsZero() && j.hedgeAt.Before(next) {
 			next = j.hedgeAt
 		}
 	}
+	for _, r := range q.remotes {
+		if r.isAwaited() && r.silentAt.Before(next) {
+			next = r.silentAt
+		}
+	}
 	return next
 }
 
+// services are those that the route's destination names.
+func (q *query) services() []identifier.ServiceName { return matcher.Services(q.route.Destination) }
+
+// rowLimit is the number of records of an answer.
+func (q *query) rowLimit() int {
+	d, _ := q.route.Destination.(matcher.Scatter)
+	return d.RowLimit
+}
+
+// needsLeave tells whether a job waits for the leave to run more than once.
+func (q *query) needsLeave() bool {
+	return slices.ContainsFunc(q.jobs, func(j *job) bool { return j.isParked && !j.isOver })
+}
+
+// earlier returns the earlier of two moments.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // passing passes one server's answer on.
 type passing struct {
 	query *query
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -98,7 +98,7 @@
 	line := r.log.WithLevel(v.level()).
 		Str(recorder.FieldRequest, q.request.ID).
 		Str(recorder.FieldRoute, string(q.route.Name)).
-		Uint64(recorder.FieldConfiguration, q.table.Number()).
+		Uint64(recorder.FieldConfiguration, q.number).
 		Str(recorder.FieldOutcome, v.name).
 		Int64(recorder.FieldElapsed, elapsed.Milliseconds()).
 		Int64(recorder.FieldTimeout, q.deadline.Sub(q.request.Arrived).Milliseconds())
@@ -111,12 +111,37 @@
 	if v.reason == ReasonCongested {
 		line = q.admission.add(line)
 	}
-	if len(q.jobs) > 1 {
-		line = line.Int(recorder.FieldShards, len(q.jobs)).Int(recorder.FieldMissing, v.missing)
+	if shards := len(q.services()); shards > 1 {
+		line = line.Int(recorder.FieldShards, shards).Int(recorder.FieldMissing, v.missing)
+	}
+	if list := q.unusualRemotes(); len(list) > 0 {
+		line = line.Array(recorder.FieldOwners, list)
 	}
 	line.Array(recorder.FieldJobs, q.unusualJobs()).Msg(recorder.EventRequest)
 }
 
+// reportBatch tells of shards whose parts another dock did not get in time.
+func (r *reporter) reportBatch(q *query, now time.Time) {
+	r.metrics.Counter("gather.batches", "Requests of other docks for the parts of some shards.").Inc(1)
+	missing := 0
+	for _, j := range q.jobs {
+		if !j.trace.isAnswered() {
+			missing++
+		}
+	}
+	isLate := !q.target.IsZero() && now.After(q.target)
+	if missing == 0 && !isLate {
+		return
+	}
+	r.metrics.Counter("gather.batches_late", "Requests of other docks that were late or not wholly answered.").Inc(1)
+	r.log.Info().Str(recorder.FieldRequest, q.request.ID).
+		Str(recorder.FieldRoute, string(q.route.Name)).
+		Uint64(recorder.FieldConfiguration, q.number).
+		Int64(recorder.FieldElapsed, now.Sub(q.request.Arrived).Milliseconds()).
+		Int(recorder.FieldShards, len(q.jobs)).Int(recorder.FieldMissing, missing).
+		Array(recorder.FieldJobs, q.unusualJobs()).Msg(recorder.EventBatch)
+}
+
 // level puts what callers did not get before what was only partial or late.
 func (v verdict) level() zerolog.Level {
 	if v.name == nameRefused || v.name == nameFailed {
@@ -163,6 +188,39 @@
 	return q.route.LatencyTarget > 0 && now.Sub(q.request.Arrived) > q.route.LatencyTarget
 }
 
+// unusualRemotes returns the owners that did not deliver all parts.
+func (q *query) unusualRemotes() remoteTraces {
+	list := remoteTraces{}
+	for _, r := range q.remotes {
+		if r.trouble != troubleNone || len(r.pending) > 0 {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// remoteTraces is the list of owners that a line tells of.
+type remoteTraces []*remote
+
+// MarshalZerologArray writes the owners.
+func (l remoteTraces) MarshalZerologArray(a *zerolog.Array) {
+	for _, r := range l {
+		a.Object(r)
+	}
+}
+
+// MarshalZerologObject writes an owner, what was wrong with it, the shards that are missing and
+// when it replied last.
+func (r *remote) MarshalZerologObject(e *zerolog.Event) {
+	e.Str(recorder.FieldOwner, string(r.dock.Host)).Int(recorder.FieldMissing, len(r.pending))
+	if r.trouble != troubleNone {
+		e.Stringer(recorder.FieldTrouble, r.trouble)
+	}
+	if r.hasReplied {
+		e.Int64(recorder.FieldAt, r.elapsed.Milliseconds())
+	}
+}
+
 // unusualJobs returns the attempts of the jobs that did not go plainly, those without an
 // answer first, and not more than maxJobs.
 func (q *query) unusualJobs() jobTraces {
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -54,8 +54,8 @@
 	return nil
 }
 
-// leave notes how long after the planned moment an answer leaves.
-func (g *gathering) leave(planned time.Time) Outcome {
+// answerAt notes how long after the planned moment an answer leaves.
+func (g *gathering) answerAt(planned time.Time) Outcome {
 	g.query.forwarder.overshoot.observe(g.query.forwarder.clock.Now().Sub(planned))
 	return g.answer()
 }
@@ -77,7 +77,7 @@
 	case now.Before(q.target):
 		return nil, q.target
 	case now.Before(q.target.Add(targetSlack)) && g.isEnough(len(g.stamps)):
-		return g.leave(q.target), now
+		return g.answerAt(q.target), now
 	case !now.Before(late) && g.isEnough(len(g.stamps)):
 		return g.answer(), now
 	}
--- a/internal/forwarder/standin_test.go
+++ b/internal/forwarder/standin_test.go
@@ -121,7 +121,7 @@
 		log: &strings.Builder{},
 	}
 	d.sender = sender.New(plain{}, timekeeper.System{}, metrics.NewRegistry())
-	d.forwarder = forwarder.New(forwarder.Settings{Domain: "one", Budget: budget, Seed: 1}, d.sender, timekeeper.System{}, zerolog.New(d), measurer.New())
+	d.forwarder = d.newForwarder(forwarder.Settings{Domain: "one", Budget: budget, Seed: 1})
 	t.Cleanup(func() {
 		for _, s := range d.standIns {
 			s.server.CloseClientConnections()
@@ -135,6 +135,11 @@
 	return d
 }
 
+// newForwarder returns a forwarder to the deployment's servers.
+func (d *deployment) newForwarder(s forwarder.Settings) *forwarder.Forwarder {
+	return forwarder.New(s, d.sender, timekeeper.System{}, zerolog.New(d), measurer.New())
+}
+
 // add starts a server of a service.
 func (d *deployment) add(service, id string, h handler) *standIn {
 	s := &standIn{id: encoder.ServerID(id), handle: h}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -103,6 +103,12 @@
 	return err
 }
 
+// Connect opens the connection unless it is open. Its error wraps ErrNotSent.
+func (l *Link) Connect(ctx context.Context) error {
+	_, err := l.connect(ctx)
+	return err
+}
+
 // Close closes the connection and fails all calls.
 func (l *Link) Close() error {
 	l.mutex.Lock()
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -43,6 +43,10 @@
 	EventKeeperRestarts = "keeper restarts"
 	// EventAgreement tells a change in the keepers' agreement.
 	EventAgreement = "agreement"
+	// EventBatch tells of shards whose parts this dock did not get for another one in time.
+	EventBatch = "batch"
+	// EventOwners tells which services other docks leave to this one.
+	EventOwners = "owned services"
 	// EventReadinessOff tells that a dock that stops takes no new callers.
 	EventReadinessOff = "readiness off"
 	// EventDirectoryUnread and EventDirectoryUnsaved tell of a keeper's file of the directory.
@@ -83,6 +87,13 @@
 	FieldCongested = "congested"
 	FieldReturn    = "returned"
 	FieldAdmitted  = "admitted_percent"
+	// FieldOwners lists the docks that did not deliver all parts, FieldOwner is the host of one
+	// and FieldTrouble what was wrong with it.
+	FieldOwners  = "owners"
+	FieldOwner   = "owner"
+	FieldTrouble = "trouble"
+	// FieldFellows is the number of docks in this one's failure domain.
+	FieldFellows = "fellows"
 	// FieldCause says why an attempt was made: first, hedge or retry.
 	FieldCause = "cause"
 	FieldAt    = "at_ms"
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -69,6 +69,8 @@
 	watcher   *watcher.Watcher
 	warmer    *warmer.Warmer
 	servers   []*httpServer
+	// links answers other docks. It is nil for a dock that sends to all shards itself.
+	links *linker.Server
 
 	isStopping atomic.Bool
 }
@@ -96,10 +98,15 @@
 		Domain: settings.Domain,
 		Budget: selector.BudgetLimits{Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack, Window: settings.RepeatWindow},
 		Seed:   uint64(p.Incarnation),
+		Host:   settings.Host,
+		Peers:  d.peers(),
 	}, d.sender, p.Clock, p.Log, p.Metrics)
 	d.warmer = warmer.New(d.forwarder, d.sender, p.Clock, p.Metrics.Metrics())
 	d.forwarder.OnRehomed(d.warmer.Wake)
-	d.watcher = watcher.New(settings.LinkSeeds(), d.pool, compile(wire.Compile), d.forwarder, p.Clock, p.Log)
+	if err := d.listenForDocks(); err != nil {
+		return nil, d.abandon(err)
+	}
+	d.watcher = watcher.New(d.self(), settings.LinkSeeds(), d.pool, compile(wire.Compile), d.forwarder, p.Clock, p.Log)
 	d.forwarder.OnObserved(d.watcher.ObserveSoon)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.check)
@@ -147,7 +154,10 @@
 	for _, s := range d.servers {
 		s.close()
 	}
-	d.watcher.Close()
+	d.closeLinks()
+	if d.watcher != nil {
+		d.watcher.Close()
+	}
 	d.warmer.Close()
 	_ = d.pool.Close()
 	return err
@@ -207,6 +217,8 @@
 	for _, s := range d.servers {
 		s.shutdown(ctx)
 	}
+	d.forwarder.StopGathering(ctx)
+	d.closeLinks()
 	d.watcher.Close()
 	d.warmer.Close()
 	d.forwarder.Close()
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -25,6 +25,12 @@
 	// spareReserve is what another try of a dispensable part leaves for those that decide on an
 	// answer.
 	spareReserve = 0.5
+	// ownerShare is the part of the slack that a service's owners split. Owners may change within
+	// a window, and the other hosts need some.
+	ownerShare = 0.3
+	// strangerShare is the part of the slack that comes back over a window to the hosts that send
+	// to a service only when its owner fails, and that have one repeat each to begin with.
+	strangerShare = 0.15
 	// defaultWindow is used if the limits name none.
 	defaultWindow = 10 * time.Second
 )
@@ -62,19 +68,27 @@
 type allowance struct {
 	// burst is the largest number of repeats that may follow each other at once.
 	burst float64
+	// start is what a host has that has not sent to the service yet.
+	start float64
 	// perSecond is how many come back without any request.
 	perSecond float64
 }
 
-// allowance returns this host's part of the slack. With a burst below one a host could repeat
-// nothing, however many requests it has had.
-func (s *Selector) allowance() allowance {
-	if s.limits.Ratio == 0 && s.limits.Slack == 0 {
+// allowance returns this host's part of a service's slack. With a burst below one a host could
+// repeat nothing, however many requests it has had.
+func (s *Selector) allowance(service identifier.ServiceName) allowance {
+	slack := slackShare * float64(s.limits.Slack)
+	part := slack / float64(s.docks)
+	switch {
+	case s.limits.Ratio == 0 && s.limits.Slack == 0:
 		return allowance{}
+	case s.ownership.Owned[service]:
+		part = ownerShare * slack / float64(max(1, s.ownership.Owners))
+	case s.ownership.Delegated[service]:
+		return allowance{burst: 1, start: 1, perSecond: strangerShare * part / s.window().Seconds()}
 	}
-	part := slackShare * float64(s.limits.Slack) / float64(s.docks)
 	burst := max(1, burstShare*part)
-	return allowance{burst: burst, perSecond: max(0, part-burst) / s.window().Seconds()}
+	return allowance{burst: burst, start: startShare * burst, perSecond: max(0, part-burst) / s.window().Seconds()}
 }
 
 // window is the time over which repeats are counted.
@@ -87,10 +101,10 @@
 
 // budget returns the budget of a service with what has come back until now.
 func (s *Selector) budget(now time.Time, service identifier.ServiceName) (*budget, allowance) {
-	a := s.allowance()
+	a := s.allowance(service)
 	b := s.budgets[service]
 	if b == nil {
-		b = &budget{tokens: startShare * a.burst, refilled: now}
+		b = &budget{tokens: a.start, refilled: now}
 		s.budgets[service] = b
 	}
 	b.tokens = min(a.burst, b.tokens+a.perSecond*max(0, now.Sub(b.refilled)).Seconds())
@@ -119,6 +133,22 @@
 	return true
 }
 
+// MayRepeatAll takes one repeat from the budget of each of several services, or none of any.
+func (s *Selector) MayRepeatAll(now time.Time, services []identifier.ServiceName, need Need) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, name := range services {
+		if b, a := s.budget(now, name); b.tokens < 1+a.reserve(need) {
+			return false
+		}
+	}
+	for _, name := range services {
+		b, _ := s.budget(now, name)
+		b.tokens--
+	}
+	return true
+}
+
 // reserve is what a repeat must leave in the budget.
 func (a allowance) reserve(need Need) float64 {
 	spare := max(0, a.burst-1)
--- a/internal/selector/home.go
+++ b/internal/selector/home.go
@@ -18,6 +18,11 @@
 	// connectionShare is the part of a server's connections that hosts plan to hold. The rest is
 	// for health checks and for hosts that have just started.
 	connectionShare = 0.85
+	// ownerConnections is the part of a server's connections that its owners hold. It leaves as
+	// much for the owners that come after them.
+	ownerConnections = 0.4
+	// mostOwnerConnections bounds an owner's connections to one server.
+	mostOwnerConnections = 12
 	// unknownConnections is used for a service whose limit is not configured.
 	unknownConnections = 2
 	// mostConnections bounds the connections to one server whatever it accepts.
@@ -42,6 +47,37 @@
 	})
 }
 
+// Ownership says how the sending of scattered requests is divided among hosts.
+type Ownership struct {
+	// Owned are the services whose requests other hosts leave to this one.
+	Owned map[identifier.ServiceName]bool
+	// Delegated are the services that have owners, the owned ones included.
+	Delegated map[identifier.ServiceName]bool
+	// Owners is how many hosts own each of them.
+	Owners int
+}
+
+// SetOwnership replaces the division of the sending, and tells whether other services are owned.
+func (s *Selector) SetOwnership(o Ownership) (isChanged bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.ownership
+	s.ownership = o
+	for name := range s.services {
+		if before.Owned[name] != o.Owned[name] {
+			s.settle(name)
+		}
+	}
+	return !maps.Equal(before.Owned, o.Owned)
+}
+
+// IsStranger tells whether another host sends to a service.
+func (s *Selector) IsStranger(service identifier.ServiceName) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ownership.Delegated[service] && !s.ownership.Owned[service]
+}
+
 // Connections returns how many connections this host may hold to one server of a service.
 func (s *Selector) Connections(service identifier.ServiceName) int {
 	s.mutex.Lock()
@@ -50,6 +86,10 @@
 	if accepted <= 0 {
 		return unknownConnections
 	}
+	if s.ownership.Owned[service] {
+		share := int(ownerConnections * float64(accepted) / float64(max(1, s.ownership.Owners)))
+		return min(mostOwnerConnections, max(1, share))
+	}
 	share := int(connectionShare * float64(accepted) / float64(s.docks))
 	return min(mostConnections, max(1, share))
 }
@@ -60,6 +100,9 @@
 func (s *Selector) settle(service identifier.ServiceName) {
 	servers := s.services[service]
 	homes := homeCount(len(servers), s.connections[service], s.docks)
+	if s.ownership.Owned[service] {
+		homes = len(servers)
+	}
 	ranked := slices.Clone(servers)
 	slices.SortFunc(ranked, func(a, b *server) int {
 		if isNear := a.info.Domain == s.domain; isNear != (b.info.Domain == s.domain) {
--- a/internal/selector/levels.go
+++ b/internal/selector/levels.go
@@ -13,7 +13,7 @@
 func (s *Selector) Levels() Levels {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	levels := Levels{Servers: len(s.servers), Slow: len(s.verdicts), Repeats: s.allowance().burst}
+	levels := Levels{Servers: len(s.servers), Slow: len(s.verdicts), Repeats: s.allowance("").burst}
 	for _, b := range s.budgets {
 		levels.Repeats = min(levels.Repeats, b.tokens)
 	}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -46,6 +46,8 @@
 	budgets map[identifier.ServiceName]*budget
 	limits  BudgetLimits
 	docks   int
+	// ownership says which services other hosts leave to this one.
+	ownership Ownership
 	// connections are how many each server of a service accepts.
 	connections map[identifier.ServiceName]int
 	// verdicts are the servers that most docks find slow.
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return Reply{}, false, eris.Wrapf(ErrLost, "read: %v", err)
 		}
-		if reply.Facts.Request == x.request.id {
+		if reply.Facts.Request == x.request.ID {
 			// Bytes behind the reply belong to no request.
 			return reply, staysOpen && x.connection.reader.Buffered() == 0, nil
 		}
@@ -71,17 +71,17 @@
 	if !x.deadline.IsZero() {
 		remaining = max(time.Millisecond, x.deadline.Sub(x.sender.clock.Now()))
 	}
-	b := make([]byte, 0, len(r.head)+len(r.body)+stampBytes)
-	b = append(b, r.head...)
+	b := make([]byte, 0, len(r.Head)+len(r.Body)+stampBytes)
+	b = append(b, r.Head...)
 	b = x.sender.protocol.AppendStamp(b, Attempt{Remaining: remaining, Server: x.to.ID})
 	b = append(b, "\r\n"...)
-	return append(b, r.body...)
+	return append(b, r.Body...)
 }
 
 // read reads one final reply. It tells whether the connection stays open behind it.
 func (x *exchange) read() (reply Reply, staysOpen bool, err error) {
 	for {
-		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.method})
+		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return Reply{}, false, err
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -99,11 +99,11 @@
 
 // Prepared is a request whose lines are rendered, but for each attempt's own.
 type Prepared struct {
-	id     string
-	method string
-	// head ends before the own headers of an attempt.
-	head []byte
-	body []byte
+	ID     string
+	Method string
+	// Head ends before the own headers of an attempt.
+	Head []byte
+	Body []byte
 }
 
 // Prepare renders a request that may be sent several times.
@@ -124,7 +124,7 @@
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
-	return &Prepared{id: r.ID, method: r.Method, head: b.Bytes(), body: r.Body}
+	return &Prepared{ID: r.ID, Method: r.Method, Head: b.Bytes(), Body: r.Body}
 }
 
 // lineBreaks keeps a header's value from ending its line.
--- a/internal/settingsreader/route.go
+++ b/internal/settingsreader/route.go
@@ -46,6 +46,9 @@
 	CallerAddress netip.AddrPort
 	// ReadinessAddress is where the balancer asks whether this dock takes callers.
 	ReadinessAddress netip.AddrPort
+	// LinkAddress is where other docks connect to. It is not valid for a dock that sends to all
+	// shards itself.
+	LinkAddress netip.AddrPort
 	// RepeatRatio and RepeatSlack bound the repeats that all docks together send to a service in
 	// any RepeatWindow.
 	RepeatRatio  float64
@@ -118,14 +121,19 @@
 		Routed:           readRouted(t),
 		CallerAddress:    tomlreader.Required(t, "caller_address", tomlreader.Address),
 		ReadinessAddress: tomlreader.Required(t, "readiness_address", tomlreader.Address),
+		LinkAddress:      tomlreader.Optional(t, "link_address", netip.AddrPort{}, tomlreader.Address),
 		RepeatRatio:      tomlreader.Required(t, "repeat_ratio", tomlreader.Number(0, 1)),
 		RepeatSlack:      int(tomlreader.Required(t, "repeat_slack", tomlreader.Integer(0, maxBudgetSlack))),
 		RepeatWindow:     tomlreader.Optional(t, "repeat_window", defaultRepeatWindow, tomlreader.Duration(time.Second, maxRepeatWindow)),
 		DrainGrace:       tomlreader.Optional(t, "drain_grace", defaultDrainGrace, tomlreader.Duration(0, maxDrainGrace)),
 		FinishTimeout:    tomlreader.Optional(t, "finish_timeout", defaultFinishTimeout, tomlreader.Duration(0, maxFinishTimeout)),
 	}
-	checkDistinct(t, []string{"caller_address", "readiness_address", "operator_address"},
-		[]netip.AddrPort{s.CallerAddress, s.ReadinessAddress, s.OperatorAddress})
+	names := []string{"caller_address", "readiness_address", "operator_address"}
+	addresses := []netip.AddrPort{s.CallerAddress, s.ReadinessAddress, s.OperatorAddress}
+	if s.LinkAddress.IsValid() {
+		names, addresses = append(names, "link_address"), append(addresses, s.LinkAddress)
+	}
+	checkDistinct(t, names, addresses)
 	return s, finish(d, path)
 }
 
--- a/internal/warmer/warmer.go
+++ b/internal/warmer/warmer.go
@@ -29,6 +29,8 @@
 // Directory tells to which servers connections are kept, the most needed first.
 type Directory interface {
 	Homes(now time.Time) []sender.Destination
+	// ConnectPeers opens the links to other docks that requests will need.
+	ConnectPeers(ctx context.Context)
 }
 
 // Opener opens connections.
@@ -101,6 +103,7 @@
 
 // round opens what is missing.
 func (w *Warmer) round() {
+	w.directory.ConnectPeers(w.ctx)
 	for _, to := range w.directory.Homes(w.clock.Now()) {
 		if w.ctx.Err() != nil {
 			return
--- a/internal/warmer/warmer_test.go
+++ b/internal/warmer/warmer_test.go
@@ -33,6 +33,8 @@
 	return s.list
 }
 
+func (s *servers) ConnectPeers(context.Context) {}
+
 func (s *servers) Warm(_ context.Context, to sender.Destination, _ int) (int, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -28,6 +28,7 @@
 	isVoter  bool
 	isMember bool
 	docks    int
+	domains  int
 }
 
 // run watches until the keeper is no member any more.
@@ -58,6 +59,8 @@
 		Configuration:  w.configuration,
 		MembersDigest:  w.membersDigest,
 		VerdictsDigest: w.verdictsDigest,
+		Dock:           w.self,
+		FellowsDigest:  w.fellowsDigest,
 		Wait:           watchWait,
 	}
 	w.mutex.Unlock()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -47,7 +47,10 @@
 type Sink interface {
 	Configure(t *matcher.Table)
 	UpdateServers(services map[identifier.ServiceName][]locator.Server)
-	SetDocks(n int)
+	// SetDocks tells how many docks there are, and in how many failure domains.
+	SetDocks(docks, domains int)
+	// SetFellows replaces the docks of this one's failure domain, itself included.
+	SetFellows(fellows []encoder.Dock)
 	// TakeObservations returns what was seen of the servers since the last call.
 	TakeObservations() []encoder.Observation
 	// SetVerdicts replaces the servers that most docks find slow.
@@ -57,6 +60,7 @@
 // Watcher watches the keepers. It is safe for concurrent use.
 type Watcher struct {
 	// Set at creation.
+	self    encoder.Dock
 	pool    *linker.Pool
 	compile Compile
 	sink    Sink
@@ -81,8 +85,9 @@
 	catalog       *locator.Catalog
 	configuration uint64
 	membersDigest uint64
-	// verdictsDigest and leader are those of the leader that was heard last.
+	// verdictsDigest, fellowsDigest and leader are those of the leader that was heard last.
 	verdictsDigest uint64
+	fellowsDigest  uint64
 	leader         netip.AddrPort
 	voters         int
 	// published is when the servers were worked out last, and isPublishing is set while they
@@ -93,10 +98,11 @@
 	wasFresh bool
 }
 
-// New starts to watch the keepers that the seeds lead to.
-func New(seeds []netip.AddrPort, pool *linker.Pool, compile Compile, sink Sink, clock timekeeper.Clock, log zerolog.Logger) *Watcher {
+// New starts to watch the keepers that the seeds lead to, as the dock self.
+func New(self encoder.Dock, seeds []netip.AddrPort, pool *linker.Pool, compile Compile, sink Sink, clock timekeeper.Clock, log zerolog.Logger) *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watcher{
+		self:    self,
 		pool:    pool,
 		compile: compile,
 		sink:    sink,
@@ -226,11 +232,12 @@
 	w.published = w.clock.Now()
 	w.isPublishing = false
 	w.sink.UpdateServers(w.catalog.Servers(w.clock.Now()))
-	docks := 1
+	docks, domains := 1, 1
 	for _, k := range w.keepers {
 		docks = max(docks, k.docks)
+		domains = max(domains, k.domains)
 	}
-	w.sink.SetDocks(docks)
+	w.sink.SetDocks(docks, domains)
 }
 
 // watch starts to watch an address unless it is watched. The caller holds the lock.
@@ -258,6 +265,7 @@
 	k.heard = now
 	k.isVoter = reply.IsVoter
 	k.docks = reply.Docks
+	k.domains = reply.Domains
 	k.process = reply.Keeper
 	k.seen = reply.Seen
 	w.catalog.Update(now, k.address, reply.IsWhole, reply.Servers)
@@ -271,6 +279,10 @@
 		w.verdictsDigest = reply.VerdictsDigest
 		w.sink.SetVerdicts(reply.Verdicts)
 	}
+	if reply.IsLeader && reply.FellowsDigest != w.fellowsDigest {
+		w.fellowsDigest = reply.FellowsDigest
+		w.sink.SetFellows(reply.Fellows)
+	}
 	if reply.IsWhole || len(reply.Servers) > 0 {
 		w.publishSoon()
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -123,7 +123,9 @@
 	d.servers = services
 }
 
-func (d *dock) SetDocks(n int) {
+func (d *dock) SetFellows([]encoder.Dock) {}
+
+func (d *dock) SetDocks(n, _ int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.docks = n
@@ -158,7 +160,7 @@
 	for _, k := range seeds {
 		addresses = append(addresses, k.server.Address())
 	}
-	d.watcher = watcher.New(addresses, d.pool, compile, d, timekeeper.System{}, zerolog.Nop())
+	d.watcher = watcher.New(encoder.Dock{}, addresses, d.pool, compile, d, timekeeper.System{}, zerolog.Nop())
 	return d
 }
 
