--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,14 +223,22 @@
 }
 
 func TestOwnerHedgesOnceItIsAskedForMore(t *testing.T) {
-	l := newFleet(t, map[int]handler{7: after(2*time.Second, answers(record(7)))}, scatter(ownedShards, 3, 0.9, 400*time.Millisecond))
-	l.add(string(services(ownedShards)[7]), "second", answers(record(7)))
+	var arrived atomic.Int32
+	// Whichever of the two servers is asked first is slow.
+	firstIsSlow := func(w http.ResponseWriter, r *http.Request, n int) {
+		if arrived.Add(1) == 1 {
+			after(2*time.Second, answers(record(7)))(w, r, n)
+			return
+		}
+		answers(record(7))(w, r, n)
+	}
+	l := newFleet(t, map[int]handler{7: firstIsSlow}, scatter(ownedShards, 3, 0.9, 400*time.Millisecond))
+	l.add(string(services(ownedShards)[7]), "second", firstIsSlow)
 	for _, f := range l.docks {
 		f.UpdateServers(l.services)
 	}
-	for range 8 {
-		l.whole()
-	}
+	l.whole()
+	assert.Equal(t, arrived.Load(), int32(2))
 	assert.Assert(t, l.asked > 0)
 }
 
