--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 MODULES := . $(addprefix ./cmd/,$(PROGRAMS))
 PACKAGES := $(addsuffix /...,$(MODULES))
 
-.PHONY: build tools generate format format-check lint test tests-only demo bench bench-fanout capacity soak fuzz clean
+.PHONY: build tools generate format format-check lint test tests-only demo bench bench-fanout capacity soak soak-faults fuzz clean
 
 build:
 	@mkdir -p $(BIN)
@@ -72,6 +72,13 @@
 soak:
 	scripts/soak.sh
 
+# soak-faults disturbs processes from outside with new seeds. Logs of seeds that fail are below
+# out/soak; such a seed belongs into the list in soak/soak_test.go.
+FAULT_SEEDS ?= 10
+FAULT_SEED ?= $(shell date +%s)
+soak-faults:
+	go test ./soak -v -timeout 3h -soak.seed $(FAULT_SEED) -soak.seeds $(FAULT_SEEDS)
+
 # fuzz runs each fuzz test for a while.
 FUZZ_TIME ?= 20s
 fuzz:
--- a/internal/dockrunner/dockrunner.go
+++ b/internal/dockrunner/dockrunner.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	d.links = links
-	d.responder, err = responder.Listen(d.settings.CallerAddress, d.router, d.poller.Announce)
+	d.responder, err = responder.Listen(d.settings.Bind(d.settings.CallerAddress), d.router, d.poller.Announce)
 	return err
 }
 
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -219,7 +218,7 @@
 
 // dial opens a connection. The caller holds dialing.
 func (l *Link) dial(ctx context.Context) (*connection, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
+	dialer := l.self.dialer()
 	socket, err := dialer.DialContext(ctx, "tcp", l.address.String())
 	var c *connection
 	if err == nil {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -5,6 +5,8 @@
 package linker
 
 import (
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -85,6 +87,26 @@
 	Incarnation identifier.Incarnation
 	// Stamper is nil for a process without a logical clock.
 	Stamper Stamper
+	// Bind is where the process listens, and connects from, instead of at the addresses that
+	// others know. It is not valid if these are the same.
+	Bind netip.Addr
+}
+
+// listenAddress is where this process listens for connections to an address.
+func (s Self) listenAddress(address netip.AddrPort) netip.AddrPort {
+	if !s.Bind.IsValid() {
+		return address
+	}
+	return netip.AddrPortFrom(s.Bind, address.Port())
+}
+
+// dialer opens connections from where this process is.
+func (s Self) dialer() net.Dialer {
+	d := net.Dialer{Timeout: connectTimeout}
+	if s.Bind.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Bind, 0))
+	}
+	return d
 }
 
 // hello builds the handshake message of this process.
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -60,7 +60,7 @@
 
 // Listen starts a server at the address.
 func Listen(address netip.AddrPort, self Self, mux *Mux, clock timekeeper.Clock) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := net.Listen("tcp", self.listenAddress(address).String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen at %s", address)
 	}
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -235,7 +235,7 @@
 
 // listen opens an address.
 func (d *Dock) listen(address netip.AddrPort, h http.Handler) error {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := net.Listen("tcp", d.settings.Bind(address).String())
 	if err != nil {
 		return eris.Wrapf(err, "listen at %s", address)
 	}
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -185,7 +185,7 @@
 
 // listen opens the control address.
 func (k *Keeper) listen() error {
-	listener, err := net.Listen("tcp", k.settings.ControlAddress.String())
+	listener, err := net.Listen("tcp", k.settings.Bind(k.settings.ControlAddress).String())
 	if err != nil {
 		return eris.Wrapf(err, "listen at %s", k.settings.ControlAddress)
 	}
--- a/internal/settingsreader/settingsreader.go
+++ b/internal/settingsreader/settingsreader.go
@@ -67,13 +67,24 @@
 	Region identifier.RegionName
 	// OperatorAddress serves health, metrics and events.
 	OperatorAddress netip.AddrPort
-	LogLevel        zerolog.Level
-	LogFormat       LogFormat
+	// BindAddress is where the process listens, and connects to other processes from, if others
+	// reach its addresses through a relay. It is not valid without one.
+	BindAddress netip.Addr
+	LogLevel    zerolog.Level
+	LogFormat   LogFormat
 }
 
 // Process returns the settings that all programs share.
 func (c Common) Process() Common { return c }
 
+// Bind returns the address to listen at for one that others connect to.
+func (c Common) Bind(address netip.AddrPort) netip.AddrPort {
+	if !c.BindAddress.IsValid() {
+		return address
+	}
+	return netip.AddrPortFrom(c.BindAddress, address.Port())
+}
+
 // readCommon reads the keys that all programs share.
 func readCommon(t *tomlreader.Table) Common {
 	levels := []zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel}
@@ -82,6 +93,7 @@
 		Domain:          tomlreader.Required(t, "domain", tomlreader.Name[identifier.DomainName]),
 		Region:          tomlreader.Required(t, "region", tomlreader.Name[identifier.RegionName]),
 		OperatorAddress: tomlreader.Required(t, "operator_address", tomlreader.Address),
+		BindAddress:     tomlreader.Optional(t, "bind_address", netip.Addr{}, tomlreader.Host),
 		LogLevel:        tomlreader.Optional(t, "log_level", zerolog.InfoLevel, tomlreader.OneOf(levels)),
 		LogFormat:       tomlreader.Optional(t, "log_format", LogJSON, tomlreader.OneOf(LogFormatValues())),
 	}
--- a/internal/tomlreader/converter.go
+++ b/internal/tomlreader/converter.go
@@ -172,6 +172,18 @@
 	}
 }
 
+// Host converts the IP number of a host.
+func Host(v Value) (netip.Addr, error) {
+	if v.kind != kindText {
+		return netip.Addr{}, eris.New(`must be an IP number in quotes, such as "10.0.0.1"`)
+	}
+	a, err := netip.ParseAddr(v.text)
+	if err != nil || a.IsUnspecified() || a.IsMulticast() {
+		return netip.Addr{}, eris.Errorf(`%q is not the IP number of a host, such as "10.0.0.1"`, v.text)
+	}
+	return a, nil
+}
+
 // Address accepts an IP number and a port, such as "10.0.0.1:7100".
 func Address(v Value) (netip.AddrPort, error) {
 	if v.kind != kindText {
