Routed requests that crash servers are quarantined on all docks

A lost answer whose server then refuses connections is told to the leading keeper with the request's fingerprint; the third request with one quarantines it for ten minutes on all docks, which refuse it as not run. A request that is answered meanwhile clears its fingerprint, since many servers that end at once hit innocent ones.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -60,6 +61,10 @@
 	mutex sync.Mutex
 	book  *locator.Book
 	judge *locator.Judge
+	// culprits finds requests that crash servers, and quarantines are its latest.
+	culprits          *locator.Culprits
+	quarantines       []encoder.Quarantine
+	quarantinesDigest uint64
 	// verdicts are the judge's latest, and verdictsDigest identifies them.
 	verdicts       []encoder.Verdict
 	verdictsDigest uint64
@@ -84,6 +89,7 @@
 		stop:     make(chan struct{}),
 		book:     locator.NewBook(silence),
 		judge:    locator.NewJudge(),
+		culprits: locator.NewCulprits(),
 		docks:    newFleet(),
 		waking:   wakes{changed: make(chan struct{}), urgent: make(chan struct{})},
 	}
@@ -161,7 +167,7 @@
 			return
 		case <-ticker.C:
 			b.update(func(now time.Time) []encoder.Registration { return b.book.Sweep(now) })
-			b.Observe(nil)
+			b.Observe(encoder.ObserveNotice{})
 		}
 	}
 }
@@ -182,21 +188,36 @@
 }
 
 // Observe takes in what a dock saw of the servers, and tells the docks if that changes which
-// servers are slow.
-func (b *Broadcaster) Observe(observations []encoder.Observation) {
+// servers are slow or which requests must not run.
+func (b *Broadcaster) Observe(n encoder.ObserveNotice) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
-	b.judge.Observe(now, observations)
-	verdicts := b.judge.Verdicts(now)
-	digest := verdictsDigest(verdicts)
-	if digest == b.verdictsDigest {
+	b.judge.Observe(now, n.Observations)
+	b.culprits.Observe(now, n.Crashes, n.Innocent)
+	verdicts, quarantines := b.judge.Verdicts(now), b.culprits.Quarantined(now)
+	digest, other := verdictsDigest(verdicts), quarantinesDigest(quarantines)
+	if digest == b.verdictsDigest && other == b.quarantinesDigest {
 		return
 	}
 	b.verdicts, b.verdictsDigest = verdicts, digest
+	b.quarantines, b.quarantinesDigest = quarantines, other
 	b.wakeAll()
 }
 
+// quarantinesDigest identifies a list of quarantines. It is zero for an empty one.
+func quarantinesDigest(quarantines []encoder.Quarantine) uint64 {
+	if len(quarantines) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	for _, q := range quarantines {
+		// xxhash's Write never returns an error.
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(q.Fingerprint)))
+	}
+	return d.Sum64() | 1
+}
+
 // verdictsDigest identifies a list of verdicts. It is zero for an empty one.
 func verdictsDigest(verdicts []encoder.Verdict) uint64 {
 	if len(verdicts) == 0 {
@@ -339,11 +360,17 @@
 		IsLeader:       s.IsLeader,
 		MembersDigest:  s.MembersDigest,
 		VerdictsDigest: b.verdictsDigest,
-		Voters:         s.Voters,
+
+		QuarantinesDigest: b.quarantinesDigest,
+
+		Voters: s.Voters,
 	}
 	if reply.VerdictsDigest != request.VerdictsDigest {
 		reply.Verdicts = b.verdicts
 	}
+	if reply.QuarantinesDigest != request.QuarantinesDigest {
+		reply.Quarantines = b.quarantines
+	}
 	if reply.MembersDigest != request.MembersDigest {
 		reply.Members = s.Members
 	}
@@ -378,6 +405,7 @@
 	if reply.IsWhole || reply.Configuration > request.Configuration {
 		return true
 	}
-	isNews := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest
+	isNews := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest ||
+		reply.QuarantinesDigest != request.QuarantinesDigest
 	return reply.IsLeader && isNews
 }
--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -22,6 +22,7 @@
 	Query uint64 `msgpack:"q"`
 	// Request is the caller's identifier.
 	Request       string                   `msgpack:"i"`
+	Fingerprint   identifier.Fingerprint   `msgpack:"f"`
 	Route         string                   `msgpack:"r"`
 	Configuration uint64                   `msgpack:"c"`
 	Method        string                   `msgpack:"m"`
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -62,7 +62,9 @@
 	// Dock describes the sender, and FellowsDigest identifies the docks that it knows.
 	Dock          Dock
 	FellowsDigest uint64
-	Wait          time.Duration
+	// QuarantinesDigest identifies the quarantines that the dock knows.
+	QuarantinesDigest uint64
+	Wait              time.Duration
 }
 
 // WatchReply answers a WatchRequest.
@@ -95,6 +97,10 @@
 	// is left out if its digest is the one that the dock knows.
 	Fellows       []Dock
 	FellowsDigest uint64
+	// Quarantines are, on the leader, the requests that must not run. The list is left out if its
+	// digest is the one that the dock knows.
+	Quarantines       []Quarantine
+	QuarantinesDigest uint64
 }
 
 // Observation sums up what one dock saw of one server in an interval.
@@ -111,6 +117,21 @@
 // ObserveNotice carries a dock's observations to the leader.
 type ObserveNotice struct {
 	Observations []Observation
+	Crashes      []Crash `msgpack:",omitempty"`
+	// Innocent are fingerprints that were told as Crashes and were answered since.
+	Innocent []identifier.Fingerprint `msgpack:",omitempty"`
+}
+
+// IsEmpty tells whether there is nothing to tell.
+func (n ObserveNotice) IsEmpty() bool {
+	return len(n.Observations) == 0 && len(n.Crashes) == 0 && len(n.Innocent) == 0
+}
+
+// Crash says that a server ended while it ran a request.
+type Crash struct {
+	Fingerprint identifier.Fingerprint `msgpack:"f"`
+	// Request is the caller's identifier.
+	Request string `msgpack:"r"`
 }
 
 // Verdict says that a server is slow.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -93,6 +93,9 @@
 	case q.results <- r:
 	case <-q.finished:
 	}
+	if r.ending == EndingLost {
+		a.confirmCrash(to)
+	}
 }
 
 // judge says what became of the attempt.
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -140,6 +140,8 @@
 		isHeld:    true,
 		leave:     make(chan struct{}, 1),
 		detach:    func() bool { return true },
+
+		fingerprint: r.Fingerprint,
 	}
 	q.ctx, q.cancel = context.WithDeadline(f.ctx, q.deadline)
 	b := &batch{
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,7 +93,8 @@
 	table atomic.Pointer[matcher.Table]
 
 	// owners knows which docks send to which shards.
-	owners *owners
+	owners  *owners
+	crashes *crashes
 
 	// Guarded by mutex.
 	mutex  sync.Mutex
@@ -132,6 +133,7 @@
 		reporter: newReporter(log, metrics, clock.Now()),
 		states:   map[matcher.RouteName]*routeState{},
 		batches:  map[batchKey]*batch{},
+		crashes:  newCrashes(),
 		owners:   &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspects: map[netip.AddrPort]time.Time{}},
 	}
 }
@@ -206,7 +208,10 @@
 }
 
 // TakeObservations returns what was seen of the servers since the last call.
-func (f *Forwarder) TakeObservations() []encoder.Observation { return f.selector.TakeObservations() }
+func (f *Forwarder) TakeObservations() encoder.ObserveNotice {
+	seen, innocent := f.crashes.take()
+	return encoder.ObserveNotice{Observations: f.selector.TakeObservations(), Crashes: seen, Innocent: innocent}
+}
 
 // SetVerdicts replaces the servers that most docks find slow.
 func (f *Forwarder) SetVerdicts(verdicts []encoder.Verdict) { f.selector.SetVerdicts(verdicts) }
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -31,6 +31,8 @@
 	ReasonCoverage
 	// ReasonTimeout means that the time was up.
 	ReasonTimeout
+	// ReasonQuarantined means that requests like this one crashed servers.
+	ReasonQuarantined
 	// ReasonCallerLeft means that nobody waits for the answer.
 	ReasonCallerLeft
 )
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -34,6 +34,8 @@
 	route    *matcher.Route
 	request  *Request
 	prepared *sender.Prepared
+	// fingerprint recognises requests that crash servers.
+	fingerprint identifier.Fingerprint
 	// deadline is when the caller gives up, or the route's timeout ends.
 	deadline time.Time
 	// target is when an answer must leave to be in time. It is zero without a target.
@@ -92,7 +94,7 @@
 	}
 	q := &query{
 		forwarder: f, table: t, number: t.Number(), route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
-		finished: make(chan struct{}),
+		finished: make(chan struct{}), fingerprint: fingerprint(&r.Request),
 	}
 	q.ctx, q.cancel = context.WithDeadline(f.ctx, deadline)
 	q.detach = context.AfterFunc(ctx, q.cancel)
@@ -131,10 +133,17 @@
 // admitAndAnswer turns the request away if its services have too much work, and asks them
 // otherwise.
 func (q *query) admitAndAnswer() Outcome {
-	if !q.forwarder.admits(q) {
+	f := q.forwarder
+	if remaining := f.crashes.remaining(f.clock.Now(), q.fingerprint); remaining > 0 {
+		return Refused{After: remaining, Reason: ReasonQuarantined}
+	}
+	if !f.admits(q) {
 		return Refused{After: congestedRetry, Reason: ReasonCongested}
 	}
 	o := q.answer()
+	if judge(o).isAnswer() {
+		f.crashes.clear(q.fingerprint)
+	}
 	if _, ok := o.(Failed); ok {
 		// Nobody needs the answers that are still to come.
 		q.cancel()
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutcaller_left"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedcaller_left"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 92}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutcaller_left"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedcaller_left"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -33,10 +33,11 @@
 	_ = x[ReasonLost-6]
 	_ = x[ReasonCoverage-7]
 	_ = x[ReasonTimeout-8]
-	_ = x[ReasonCallerLeft-9]
+	_ = x[ReasonQuarantined-9]
+	_ = x[ReasonCallerLeft-10]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonCallerLeft}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonCallerLeft}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
@@ -48,7 +49,8 @@
 	_ReasonName[51:55]: ReasonLost,
 	_ReasonName[55:63]: ReasonCoverage,
 	_ReasonName[63:70]: ReasonTimeout,
-	_ReasonName[70:81]: ReasonCallerLeft,
+	_ReasonName[70:81]: ReasonQuarantined,
+	_ReasonName[81:92]: ReasonCallerLeft,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -61,7 +63,8 @@
 	_ReasonLowerName[51:55]: ReasonLost,
 	_ReasonLowerName[55:63]: ReasonCoverage,
 	_ReasonLowerName[63:70]: ReasonTimeout,
-	_ReasonLowerName[70:81]: ReasonCallerLeft,
+	_ReasonLowerName[70:81]: ReasonQuarantined,
+	_ReasonLowerName[81:92]: ReasonCallerLeft,
 }
 
 var _ReasonNames = []string{
@@ -75,6 +78,7 @@
 	_ReasonName[55:63],
 	_ReasonName[63:70],
 	_ReasonName[70:81],
+	_ReasonName[81:92],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/remote.go
+++ b/internal/forwarder/remote.go
@@ -106,6 +106,7 @@
 	request := encoder.GatherRequest{
 		Query:         r.number,
 		Request:       q.prepared.ID,
+		Fingerprint:   q.fingerprint,
 		Route:         string(q.route.Name),
 		Configuration: q.number,
 		Method:        q.prepared.Method,
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -25,6 +25,7 @@
 const (
 	nameRefused = "refused"
 	nameFailed  = "failed"
+	namePartial = "partial"
 )
 
 // reporter counts requests for log and metrics, and tells of those that were not answered
@@ -62,6 +63,9 @@
 	isOrdinary bool
 }
 
+// isAnswer tells whether the caller got an answer, if only a part of it.
+func (v verdict) isAnswer() bool { return v.isOrdinary || v.name == namePartial }
+
 // judge puts an outcome in short.
 func judge(o Outcome) verdict {
 	switch o := o.(type) {
@@ -69,7 +73,7 @@
 		return verdict{name: "answered", isOrdinary: isSuccess(&o.Reply)}
 	case Gathered:
 		if o.Missing > 0 {
-			return verdict{name: "partial", missing: o.Missing}
+			return verdict{name: namePartial, missing: o.Missing}
 		}
 		return verdict{name: "whole", isOrdinary: true}
 	case Refused:
--- /dev/null
+++ b/internal/locator/culprits_test.go
@@ -0,0 +1,57 @@
+package locator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+)
+
+// crash is that of one server during a request.
+func crash(f identifier.Fingerprint, request int) []encoder.Crash {
+	return []encoder.Crash{{Fingerprint: f, Request: fmt.Sprint(request)}}
+}
+
+func TestThirdRequestThatCrashesServersIsQuarantined(t *testing.T) {
+	c := locator.NewCulprits()
+	now := time.Unix(100, 0)
+	for i := range 2 {
+		c.Observe(now, crash(7, i), nil)
+		c.Observe(now, crash(7, i), nil)
+	}
+	assert.Equal(t, len(c.Quarantined(now)), 0, "each request crashed several servers and counts once")
+	c.Observe(now, crash(7, 2), nil)
+	list := c.Quarantined(now.Add(time.Minute))
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Fingerprint, identifier.Fingerprint(7))
+	assert.Equal(t, list[0].Remaining, 9*time.Minute)
+	assert.Equal(t, len(c.Quarantined(now.Add(10*time.Minute))), 0)
+}
+
+func TestRequestThatWasAnsweredIsNoCulprit(t *testing.T) {
+	c := locator.NewCulprits()
+	now := time.Unix(100, 0)
+	c.Observe(now, crash(7, 0), nil)
+	c.Observe(now, crash(7, 1), nil)
+	c.Observe(now, nil, []identifier.Fingerprint{7})
+	c.Observe(now, crash(7, 2), nil)
+	assert.Equal(t, len(c.Quarantined(now)), 0)
+}
+
+func TestCulpritsAreBounded(t *testing.T) {
+	c := locator.NewCulprits()
+	now := time.Unix(100, 0)
+	for i := range 10_000 {
+		c.Observe(now, crash(identifier.Fingerprint(i), i), nil)
+	}
+	later := now.Add(time.Hour)
+	for i := range 3 {
+		c.Observe(later, crash(20_000, i), nil)
+	}
+	assert.Equal(t, len(c.Quarantined(later)), 1, "old ones make room")
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -43,6 +43,10 @@
 	EventKeeperRestarts = "keeper restarts"
 	// EventAgreement tells a change in the keepers' agreement.
 	EventAgreement = "agreement"
+	// EventCrash tells that a server ended while it ran a request, EventQuarantine that requests
+	// with a fingerprint must not run.
+	EventCrash      = "server crashed"
+	EventQuarantine = "request quarantined"
 	// EventBatch tells of shards whose parts this dock did not get for another one in time.
 	EventBatch = "batch"
 	// EventOwners tells which services other docks leave to this one.
@@ -94,6 +98,8 @@
 	FieldTrouble = "trouble"
 	// FieldFellows is the number of docks in this one's failure domain.
 	FieldFellows = "fellows"
+	// FieldFingerprint is equal for requests that servers cannot tell from each other.
+	FieldFingerprint = "fingerprint"
 	// FieldCause says why an attempt was made: first, hedge or retry.
 	FieldCause = "cause"
 	FieldAt    = "at_ms"
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -173,7 +173,7 @@
 		return k.confirm(ctx), nil
 	})
 	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
-		k.broadcaster.Observe(n.Observations)
+		k.broadcaster.Observe(n)
 		return struct{}{}, nil
 	})
 	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -61,7 +61,10 @@
 		VerdictsDigest: w.verdictsDigest,
 		Dock:           w.self,
 		FellowsDigest:  w.fellowsDigest,
-		Wait:           watchWait,
+
+		QuarantinesDigest: w.quarantinesDigest,
+
+		Wait: watchWait,
 	}
 	w.mutex.Unlock()
 	return linker.Call[encoder.WatchRequest, encoder.WatchReply](ctx, w.pool.Link(k.address), encoder.KindWatch, request)
--- a/internal/watcher/observer.go
+++ b/internal/watcher/observer.go
@@ -43,14 +43,14 @@
 // tell sends what was seen since the last time. What does not arrive is missed: newer
 // observations follow.
 func (o *observer) tell() {
-	observations := o.sink.TakeObservations()
+	notice := o.sink.TakeObservations()
 	o.mutex.Lock()
 	leader := o.leader
 	o.mutex.Unlock()
-	if len(observations) == 0 || !leader.IsValid() {
+	if notice.IsEmpty() || !leader.IsValid() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, observeDelay)
 	defer cancel()
-	_ = linker.Cast(ctx, o.pool.Link(leader), encoder.KindObserve, encoder.ObserveNotice{Observations: observations})
+	_ = linker.Cast(ctx, o.pool.Link(leader), encoder.KindObserve, notice)
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -52,7 +52,9 @@
 	// SetFellows replaces the docks of this one's failure domain, itself included.
 	SetFellows(fellows []encoder.Dock)
 	// TakeObservations returns what was seen of the servers since the last call.
-	TakeObservations() []encoder.Observation
+	TakeObservations() encoder.ObserveNotice
+	// SetQuarantines replaces the requests that must not run.
+	SetQuarantines(quarantines []encoder.Quarantine)
 	// SetVerdicts replaces the servers that most docks find slow.
 	SetVerdicts(verdicts []encoder.Verdict)
 }
@@ -85,11 +87,13 @@
 	catalog       *locator.Catalog
 	configuration uint64
 	membersDigest uint64
-	// verdictsDigest, fellowsDigest and leader are those of the leader that was heard last.
-	verdictsDigest uint64
-	fellowsDigest  uint64
-	leader         netip.AddrPort
-	voters         int
+	// verdictsDigest, fellowsDigest, quarantinesDigest and leader are those of the leader that was
+	// heard last.
+	verdictsDigest    uint64
+	fellowsDigest     uint64
+	quarantinesDigest uint64
+	leader            netip.AddrPort
+	voters            int
 	// published is when the servers were worked out last, and isPublishing is set while they
 	// are about to be.
 	published    time.Time
@@ -279,6 +283,10 @@
 		w.verdictsDigest = reply.VerdictsDigest
 		w.sink.SetVerdicts(reply.Verdicts)
 	}
+	if reply.IsLeader && reply.QuarantinesDigest != w.quarantinesDigest {
+		w.quarantinesDigest = reply.QuarantinesDigest
+		w.sink.SetQuarantines(reply.Quarantines)
+	}
 	if reply.IsLeader && reply.FellowsDigest != w.fellowsDigest {
 		w.fellowsDigest = reply.FellowsDigest
 		w.sink.SetFellows(reply.Fellows)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -54,7 +54,7 @@
 		return encoder.ManifestText{Number: k.number, Text: fmt.Append(nil, k.number)}, nil
 	})
 	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
-		k.broadcaster.Observe(n.Observations)
+		k.broadcaster.Observe(n)
 		return struct{}{}, nil
 	})
 	var err error
@@ -131,12 +131,14 @@
 	d.docks = n
 }
 
-func (d *dock) TakeObservations() []encoder.Observation {
+func (d *dock) SetQuarantines([]encoder.Quarantine) {}
+
+func (d *dock) TakeObservations() encoder.ObserveNotice {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	seen := d.seen
 	d.seen = nil
-	return seen
+	return encoder.ObserveNotice{Observations: seen}
 }
 
 func (d *dock) SetVerdicts(verdicts []encoder.Verdict) {
