--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -16,8 +16,11 @@
 	// leastShards is the number of shards from which on they are owned. With fewer, a message to
 	// the owners and back takes longer than it saves.
 	leastShards = 40
-	// groupShards is the number of shards that an owner has of one request.
+	// groupShards is the number of shards that an owner has of one request, if there are two docks
+	// for each group. With fewer docks, groups are larger.
 	groupShards = 10
+	// leastGroups is the number of groups from which on the work is divided at all.
+	leastGroups = 4
 )
 
 // Group is some shards and the docks to ask for them.
@@ -29,10 +32,10 @@
 }
 
 // Assign divides shards among docks. It returns nil if each dock is to send to all by itself:
-// for few shards, or if there are not two docks for each group.
+// for few shards or few docks.
 func Assign(shards []identifier.ServiceName, docks []encoder.Dock) []Group {
-	count := (len(shards) + groupShards - 1) / groupShards
-	if len(shards) < leastShards || len(docks) < 2*count {
+	count := min((len(shards)+groupShards-1)/groupShards, len(docks)/2)
+	if len(shards) < leastShards || count < leastGroups {
 		return nil
 	}
 	taken := map[identifier.HostName]bool{}
