--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	// sweepInterval is how often servers are checked for silence.
+	// sweepInterval is how often servers are checked for silence, and what docks saw of them is
+	// judged. Judged at every notice, a hundred docks would be told a hundred times a second.
 	sweepInterval = 250 * time.Millisecond
 	// maxChanges bounds the changes that are kept for docks that lag. Who lags more gets the
 	// whole directory.
@@ -167,7 +168,7 @@
 			return
 		case <-ticker.C:
 			b.update(func(now time.Time) []encoder.Registration { return b.book.Sweep(now) })
-			b.Observe(encoder.ObserveNotice{})
+			b.judgeServers()
 		}
 	}
 }
@@ -187,14 +188,20 @@
 	b.update(func(now time.Time) []encoder.Registration { return b.book.Depart(now, r) })
 }
 
-// Observe takes in what a dock saw of the servers, and tells the docks if that changes which
-// servers are slow or which requests must not run.
+// Observe takes in what a dock saw of the servers.
 func (b *Broadcaster) Observe(n encoder.ObserveNotice) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
 	b.judge.Observe(now, n.Observations)
 	b.culprits.Observe(now, n.Crashes, n.Innocent)
+}
+
+// judgeServers tells the docks if other servers are slow now, or other requests must not run.
+func (b *Broadcaster) judgeServers() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.clock.Now()
 	verdicts, quarantines := b.judge.Verdicts(now), b.culprits.Quarantined(now)
 	digest, other := verdictsDigest(verdicts), quarantinesDigest(quarantines)
 	if digest == b.verdictsDigest && other == b.quarantinesDigest {
