--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -57,6 +57,8 @@
 	Missing  int     `json:"missing"`
 	Jobs     []Job   `json:"jobs"`
 	Count    int     `json:"count"`
+	// Owners are the docks that did not deliver all parts.
+	Owners   []Owner `json:"owners"`
 	Slowness float64 `json:"slowness"`
 	Keeper   string  `json:"keeper"`
 	Error    string  `json:"error"`
@@ -64,6 +66,14 @@
 	Text string `json:"-"`
 }
 
+// Owner is a dock that did not deliver all parts of a request.
+type Owner struct {
+	Host    string `json:"owner"`
+	Missing int    `json:"missing"`
+	Trouble string `json:"trouble"`
+	AtMs    *int64 `json:"at_ms"`
+}
+
 // Job is a service's part of a request.
 type Job struct {
 	Service  string    `json:"service"`
@@ -130,7 +140,8 @@
 
 // Story is what the lines tell of a request.
 type Story struct {
-	// Outcomes are the lines of the request, one for each dock that answered it.
+	// Outcomes are the lines of the request, one for each dock that answered it, or that got parts
+	// of it for another dock and not all in time.
 	Outcomes []Line
 	// Beliefs are the changed beliefs that bear on it, in the order of their times.
 	Beliefs []Line
@@ -140,7 +151,7 @@
 func (l *Log) Explain(request string) (Story, error) {
 	s := Story{}
 	for _, line := range l.lines {
-		if line.Event == recorder.EventRequest && line.Request == request {
+		if line.isOutcome() && line.Request == request {
 			s.Outcomes = append(s.Outcomes, line)
 		}
 	}
@@ -158,11 +169,14 @@
 	return s, nil
 }
 
-// isBelief tells whether a line is neither of a request nor a count of requests.
-func (l *Line) isBelief() bool {
-	return l.Event != recorder.EventRequest && l.Event != recorder.EventRequests
+// isOutcome tells whether a line is what became of a request at one dock.
+func (l *Line) isOutcome() bool {
+	return l.Event == recorder.EventRequest || l.Event == recorder.EventBatch
 }
 
+// isBelief tells whether a line is neither of a request nor a count of requests.
+func (l *Line) isBelief() bool { return !l.isOutcome() && l.Event != recorder.EventRequests }
+
 // finding is what a line of a dock tells of a server.
 type finding struct{ event, server string }
 
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -83,3 +83,24 @@
 
 const refusal = `{"level":"warn","program":"routedock","host":"d1","request":"r9","route":"sweep","configuration":4,"outcome":"refused","elapsed_ms":0,"timeout_ms":1000,"reason":"congested","retry_after_ms":700,"congested":false,"returned":true,"admitted_percent":70,"jobs":[],"time":"2026-01-01T10:00:02.000Z","message":"request"}
 `
+
+// ownedLog is what two docks wrote of one request: the second one owns ten of its shards.
+const ownedLog = `{"level":"info","program":"routedock","host":"d1","request":"r9","route":"sweep","configuration":4,"outcome":"partial","elapsed_ms":67,"timeout_ms":1200,"shards":90,"missing":11,"owners":[{"owner":"d2","missing":1,"at_ms":60},{"owner":"d3","missing":10,"trouble":"silent"}],"jobs":[],"time":"2026-01-01T10:00:02.070Z","message":"request"}
+{"level":"info","program":"routedock","host":"d2","request":"r9","route":"sweep","configuration":4,"elapsed_ms":64,"shards":10,"missing":1,"jobs":[{"service":"plates","attempts":[{"cause":"first","server":"s1","score":0.8,"seen_ms_ago":20,"at_ms":0,"outcome":"running"}]}],"time":"2026-01-01T10:00:02.068Z","message":"batch"}
+`
+
+func TestStoryGoesOnAtTheOwnersOfShards(t *testing.T) {
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("docks.log", strings.NewReader(ownedLog)))
+	s, err := l.Explain("r9")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Equal(t, b.String(), `10:00:02.068 d2: parts of request r9 for another dock, 1 of 10 missing after 64 ms
+  plates:
+    at 0 ms first to s1 (expected 0.8 times the usual latency, last seen 20 ms before): running when the request ended
+10:00:02.070 d1: request r9 partial after 67 of 1200 ms, route sweep of configuration 4, 11 of 90 shards missing
+  d2, which owns shards, left out 1, replied last at 60 ms
+  d3, which owns shards, left out 10 (silent)
+`)
+}
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -18,6 +18,9 @@
 	slices.SortStableFunc(lines, byTime)
 	for _, line := range lines {
 		_, _ = fmt.Fprintf(w, "%s %s: %s\n", line.Time.Format(timeFormat), line.Host, line.telling())
+		for _, o := range line.Owners {
+			o.write(w)
+		}
 		for _, j := range line.Jobs {
 			j.write(w)
 		}
@@ -29,6 +32,9 @@
 	if l.Event == recorder.EventRequest {
 		return fmt.Sprintf("request %s %s", l.Request, l.outcome())
 	}
+	if l.Event == recorder.EventBatch {
+		return fmt.Sprintf("parts of request %s for another dock, %d of %d missing after %d ms", l.Request, l.Missing, l.Shards, l.ElapsedMs)
+	}
 	return l.belief()
 }
 
@@ -64,6 +70,18 @@
 	return text
 }
 
+// write tells what was wrong with an owner of shards.
+func (o Owner) write(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "  %s, which owns shards, left out %d", o.Host, o.Missing)
+	if o.AtMs != nil {
+		_, _ = fmt.Fprintf(w, ", replied last at %d ms", *o.AtMs)
+	}
+	if o.Trouble != "" {
+		_, _ = fmt.Fprintf(w, " (%s)", o.Trouble)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
 // write tells of a service's attempts.
 func (j Job) write(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "  %s:", j.Service)
