--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -52,11 +52,11 @@
 	IsCongested   bool   `json:"congested"`
 	IsReturn      bool   `json:"returned"`
 	// Admitted is nil where the line is not of a refusal for congestion.
-	Admitted *int    `json:"admitted_percent"`
-	Shards   int     `json:"shards"`
-	Missing  int     `json:"missing"`
-	Jobs     []Job   `json:"jobs"`
-	Count    int     `json:"count"`
+	Admitted *int  `json:"admitted_percent"`
+	Shards   int   `json:"shards"`
+	Missing  int   `json:"missing"`
+	Jobs     []Job `json:"jobs"`
+	Count    int   `json:"count"`
 	// Owners are the docks that did not deliver all parts.
 	Owners   []Owner `json:"owners"`
 	Slowness float64 `json:"slowness"`
