--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -57,7 +57,7 @@
 }
 
 // Gather answers another dock's request for parts. It replies as soon as all shards are done,
-// a shard needs the leave to run once more, or the time to say something has come.
+// a shard needs the permission to run once more, or the time to say something has come.
 func (f *Forwarder) Gather(ctx context.Context, dock identifier.Incarnation, r encoder.GatherRequest) (encoder.GatherReply, error) {
 	b := f.newBatch(r)
 	key := batchKey{dock: dock, query: r.Query}
@@ -78,7 +78,7 @@
 		return encoder.GatherReply{}, errUnknownQuery
 	}
 	select {
-	case b.query.leave <- struct{}{}:
+	case b.query.permit <- struct{}{}:
 	default:
 	}
 	return b.wait(ctx), nil
@@ -138,7 +138,7 @@
 		deadline:  now.Add(r.Remaining),
 		finished:  make(chan struct{}),
 		isHeld:    true,
-		leave:     make(chan struct{}, 1),
+		permit:    make(chan struct{}, 1),
 		detach:    func() bool { return true },
 
 		fingerprint: r.Fingerprint,
@@ -216,7 +216,7 @@
 	return nil
 }
 
-// due lets the other dock hear what there is when a job waits for leave, and at set times.
+// due lets the other dock hear what there is when a job waits for permission, and at set times.
 func (b *batch) due(now time.Time) (Outcome, time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -224,7 +224,7 @@
 	if !now.Before(q.deadline) || b.isAbandoned(now) {
 		return Failed{Reason: ReasonTimeout}, now
 	}
-	if q.needsLeave() {
+	if q.needsPermit() {
 		b.tell()
 	}
 	next := q.deadline
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -30,7 +30,7 @@
 	isOver  bool
 	// attempts bounds the runs.
 	attempts int
-	// isParked is set while the job waits for the leave to run once more.
+	// isParked is set while the job waits for the permission to run once more.
 	isParked bool
 	// failure is a server's own failure, which is passed on if nobody does better.
 	failure *sender.Reply
@@ -84,7 +84,7 @@
 	if j.isOver || j.hedgeAt.IsZero() || now.Before(j.hedgeAt) {
 		return
 	}
-	if j.needsLeave() {
+	if j.needsPermit() {
 		j.isParked = true
 		return
 	}
@@ -120,9 +120,9 @@
 	return j.runs < j.attempts && j.sends < maxSends
 }
 
-// needsLeave tells whether the job may run once more only with the leave of the dock that
-// delegated it.
-func (j *job) needsLeave() bool {
+// needsPermit tells whether the job may run once more only with the permission of the dock
+// that delegated it.
+func (j *job) needsPermit() bool {
 	return j.query.isHeld && j.runs > 0 && j.mayRunMore()
 }
 
@@ -194,7 +194,7 @@
 	return result{reply: j.failure, reason: j.reason, hasRun: j.runs > 0}
 }
 
-// resume goes on with the leave to run once more. It returns the job's result if it has none of
+// resume goes on with the permission to run once more. It returns the job's result if it has none of
 // it left to try.
 func (j *job) resume(now time.Time) (result, bool) {
 	if j.isOver || !j.isParked {
@@ -214,7 +214,7 @@
 	if !mayRepeat || !j.mayRunMore() {
 		return false
 	}
-	if j.needsLeave() {
+	if j.needsPermit() {
 		j.isParked = true
 		return true
 	}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -50,9 +50,9 @@
 	// remotes are the shards that other docks send to, and their replies come by replies.
 	remotes []*remote
 	replies chan remoteReply
-	// isHeld says that no job may run more than once yet. An end of leave allows it.
+	// isHeld says that no job may run more than once yet. A value on permit allows it.
 	isHeld bool
-	leave  chan struct{}
+	permit chan struct{}
 	// results receives the ends of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -196,7 +196,7 @@
 		return q.take(r)
 	case r := <-q.replies:
 		return q.takeReply(q.forwarder.clock.Now(), r)
-	case <-q.leave:
+	case <-q.permit:
 		return q.release(q.forwarder.clock.Now())
 	case <-wake:
 		return nil
@@ -279,8 +279,8 @@
 	return d.RowLimit
 }
 
-// needsLeave tells whether a job waits for the leave to run more than once.
-func (q *query) needsLeave() bool {
+// needsPermit tells whether a job waits for the permission to run more than once.
+func (q *query) needsPermit() bool {
 	return slices.ContainsFunc(q.jobs, func(j *job) bool { return j.isParked && !j.isOver })
 }
 
--- a/internal/forwarder/remote.go
+++ b/internal/forwarder/remote.go
@@ -37,9 +37,9 @@
 	number   uint64
 	silentAt time.Time
 
-	// goOn lets run ask for more. Only a query that has taken a reply in gives that leave, so that
+	// more lets run ask for more. Only a query that has taken a reply in permits that, so that
 	// it cannot replace the owner meanwhile.
-	goOn chan struct{}
+	more chan struct{}
 
 	// pending are the shards without a part, by their index.
 	pending map[int]bool
@@ -89,7 +89,7 @@
 func (q *query) newRemote(now time.Time, dock encoder.Dock, g assigner.Group) *remote {
 	r := &remote{
 		query: q, dock: dock, services: g.Services, number: q.forwarder.owners.nextID(),
-		silentAt: now.Add(untimedSilence), goOn: make(chan struct{}, 1), pending: map[int]bool{},
+		silentAt: now.Add(untimedSilence), more: make(chan struct{}, 1), pending: map[int]bool{},
 	}
 	if !q.target.IsZero() {
 		r.silentAt = now.Add(q.target.Sub(now)/silenceParts + silenceSlack)
@@ -140,7 +140,7 @@
 			return
 		}
 		select {
-		case <-r.goOn:
+		case <-r.more:
 		case <-q.finished:
 			return
 		}
@@ -181,7 +181,7 @@
 	if reply.reply.IsDone {
 		return q.abandon(r)
 	}
-	r.goOn <- struct{}{}
+	r.more <- struct{}{}
 	return nil
 }
 
