--- a/internal/forwarder/remote.go
+++ b/internal/forwarder/remote.go
@@ -37,8 +37,8 @@
 	number   uint64
 	silentAt time.Time
 
-	// more lets run ask for more. Only a query that has taken a reply in permits that, so that
-	// it cannot replace the owner meanwhile.
+	// more lets run ask for the rest. It gets a value when the query has taken a reply in, after
+	// which the query does not replace the owner.
 	more chan struct{}
 
 	// pending are the shards without a part, by their index.
