--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -42,8 +42,13 @@
 	faultSilent
 	// faultMute carries the request and no reply.
 	faultMute
+	// faultLate carries the reply after the owner has been replaced.
+	faultLate
 )
 
+// lateBy is how long after the request a late reply comes.
+const lateBy = 260 * time.Millisecond
+
 // fleet is several docks with the same servers.
 type fleet struct {
 	*deployment
@@ -72,6 +77,11 @@
 		_, _ = owner.Gather(ctx, 1, r)
 		<-ctx.Done()
 		return encoder.GatherReply{}, ctx.Err()
+	case faultLate:
+		late := time.After(lateBy)
+		reply, err := owner.Gather(ctx, 1, r)
+		<-late
+		return reply, err
 	case faultLost:
 		broken, cancel := context.WithTimeout(ctx, 15*time.Millisecond)
 		defer cancel()
@@ -184,6 +194,24 @@
 	}
 }
 
+// TestLateReplyOfAReplacedOwnerIsDropped has owners whose replies come when their shards were asked
+// once more, and half of those answers are there.
+func TestLateReplyOfAReplacedOwnerIsDropped(t *testing.T) {
+	slow := map[int]handler{}
+	for i := range ownedShards {
+		slow[i] = func(w http.ResponseWriter, r *http.Request, n int) {
+			if n > 1 && i%2 == 0 {
+				answers(record(i))(w, r, n)
+				return
+			}
+			after(120*time.Millisecond, answers(record(i)))(w, r, n)
+		}
+	}
+	l := newFleet(t, slow, scatter(ownedShards, 3, 0.9, 400*time.Millisecond))
+	l.breakLinks(faultLate)
+	l.whole()
+}
+
 func TestOwnerWhoseLinkBreaksIsReplaced(t *testing.T) {
 	slow := map[int]handler{}
 	for i := range ownedShards {
