--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -198,7 +198,24 @@
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
 	b.outlierDetector.Observe(now, n.Observations)
-	b.crashTracker.Observe(now, n.Crashes, n.Innocent)
+	for _, finding := range b.crashTracker.Observe(now, n.Crashes, n.Innocent) {
+		b.logFinding(finding)
+	}
+}
+
+// logFinding logs that a crash was counted for a fingerprint, or that the fingerprint was cleared.
+func (b *Broadcaster) logFinding(f locator.CrashFinding) {
+	if f.Crash == nil {
+		b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Msg(recorder.EventSuspicionCleared)
+		return
+	}
+	outcome := "suspected"
+	if f.IsQuarantined {
+		outcome = "quarantined"
+	}
+	b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Str(recorder.FieldRequest, f.Crash.Request).
+		Str(recorder.FieldServer, string(f.Crash.Server)).Int(recorder.FieldCount, f.Count).
+		Str(recorder.FieldOutcome, outcome).Msg(recorder.EventCrashCounted)
 }
 
 // evaluateObservations computes the slow servers and the quarantines, and wakes all watches if
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -135,6 +135,8 @@
 	Fingerprint identifier.Fingerprint `msgpack:"f"`
 	// Request is the caller's identifier.
 	Request string `msgpack:"r"`
+	// Server is the server that terminated.
+	Server ServerID `msgpack:"i,omitempty"`
 }
 
 // SlowServer identifies a server that is slow.
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -77,14 +77,14 @@
 
 // recordCrash records that a server crashed while it ran a request. It does nothing if there are
 // maxSuspects suspects.
-func (c *crashTracker) recordCrash(f identifier.Fingerprint, request string) {
+func (c *crashTracker) recordCrash(f identifier.Fingerprint, request string, server encoder.ServerID) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.suspects) >= maxSuspects {
 		return
 	}
 	c.suspects[f] = true
-	c.crashes = append(c.crashes, encoder.Crash{Fingerprint: f, Request: request})
+	c.crashes = append(c.crashes, encoder.Crash{Fingerprint: f, Request: request, Server: server})
 }
 
 // recordSuccess records that a request was answered, and reports it if it was a suspect.
@@ -123,11 +123,13 @@
 	f := q.forwarder
 	ctx, cancel := context.WithTimeout(f.ctx, crashCheckTimeout)
 	defer cancel()
-	_, err := f.sender.Warm(ctx, destination, 1)
+	opened, err := f.sender.Warm(ctx, destination, 1)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
+		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
+			Str(recorder.FieldServer, string(destination.ID)).Int(recorder.FieldCount, opened).Msg(recorder.EventCrashUnconfirmed)
 		return
 	}
-	f.crashTracker.recordCrash(q.fingerprint, q.prepared.ID)
+	f.crashTracker.recordCrash(q.fingerprint, q.prepared.ID, destination.ID)
 	f.log.Warn().Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
 		Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrash)
 	f.onObserved()
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -42,8 +42,11 @@
 		reported.Crashes = append(reported.Crashes, d.forwarder.TakeObservations().Crashes...)
 		return len(reported.Crashes) == 2
 	})
-	assert.Equal(t, reported.Crashes[0], reported.Crashes[1])
-	assert.Equal(t, reported.Crashes[0].Request, "id-1")
+	assert.Equal(t, reported.Crashes[0].Fingerprint, reported.Crashes[1].Fingerprint)
+	for i, server := range []encoder.ServerID{"a", "b"} {
+		assert.Equal(t, reported.Crashes[i].Request, "id-1")
+		assert.Equal(t, reported.Crashes[i].Server, server)
+	}
 
 	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: reported.Crashes[0].Fingerprint, Remaining: time.Minute}})
 	before, _ := d.servers["a"].count()
--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -48,12 +48,25 @@
 	return &CrashTracker{entries: map[identifier.Fingerprint]*suspect{}}
 }
 
-// Observe adds crashes. Cleared holds the fingerprints of requests that were answered after a
-// crash: they are no longer suspected unless they are or were quarantined.
-func (c *CrashTracker) Observe(now time.Time, crashes []encoder.Crash, cleared []identifier.Fingerprint) {
+// CrashFinding is a change of what a CrashTracker knows about a fingerprint.
+type CrashFinding struct {
+	Fingerprint identifier.Fingerprint
+	// Crash is the crash that was counted, or nil if the fingerprint was cleared.
+	Crash *encoder.Crash
+	// Count is the number of requests that count against the fingerprint.
+	Count int
+	// IsQuarantined reports whether the fingerprint is quarantined because of the crash.
+	IsQuarantined bool
+}
+
+// Observe adds crashes and returns the changes. Cleared holds the fingerprints of requests that were
+// answered after a crash: they are no longer suspected unless they are or were quarantined.
+func (c *CrashTracker) Observe(now time.Time, crashes []encoder.Crash, cleared []identifier.Fingerprint) []CrashFinding {
+	findings := []CrashFinding{}
 	for _, f := range cleared {
 		if e := c.entries[f]; e != nil && e.until.IsZero() {
 			delete(c.entries, f)
+			findings = append(findings, CrashFinding{Fingerprint: f})
 		}
 	}
 	for _, crash := range crashes {
@@ -68,7 +81,11 @@
 		if len(e.requests) >= crashLimit {
 			e.until = now.Add(quarantineTime)
 		}
+		findings = append(findings, CrashFinding{
+			Fingerprint: crash.Fingerprint, Crash: &crash, Count: len(e.requests), IsQuarantined: now.Before(e.until),
+		})
 	}
+	return findings
 }
 
 // entry returns the entry of a fingerprint and creates it if necessary. It returns nil if
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -53,6 +53,14 @@
 	// requests with a fingerprint must not run.
 	EventCrash      = "server crashed"
 	EventQuarantine = "request quarantined"
+	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
+	EventCrashUnconfirmed = "crash not confirmed"
+	// EventCrashReportLost reports that a dock could not deliver its reports on crashes.
+	EventCrashReportLost = "crash reports not delivered"
+	// EventCrashCounted reports that a keeper counted a crash for a fingerprint, and
+	// EventSuspicionCleared that a request with the fingerprint was answered since.
+	EventCrashCounted     = "crash counted"
+	EventSuspicionCleared = "suspicion cleared"
 	// EventBatch reports shards whose results this dock did not gather in time for another dock.
 	EventBatch = "batch"
 	// EventOwners reports the number of services to which this dock sends on behalf of other docks.
--- a/internal/watcher/observer.go
+++ b/internal/watcher/observer.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/recorder"
 )
 
+// errNoLeader is logged for reports that no keeper can receive.
+var errNoLeader = eris.New("no leading keeper is known")
+
 // observer sends this dock's observations of the servers to the leader.
 type observer struct {
 	*Watcher
@@ -49,10 +55,25 @@
 	o.mutex.Lock()
 	leader := o.leader
 	o.mutex.Unlock()
-	if notice.IsEmpty() || !leader.IsValid() {
+	if notice.IsEmpty() {
+		return
+	}
+	if !leader.IsValid() {
+		o.logLostReports(notice, errNoLeader)
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, observeDelay)
 	defer cancel()
-	_ = linker.Send(ctx, o.pool.Link(leader), encoder.KindObserve, notice)
+	if err := linker.Send(ctx, o.pool.Link(leader), encoder.KindObserve, notice); err != nil {
+		o.logLostReports(notice, err)
+	}
+}
+
+// logLostReports logs that reports on crashes were not delivered. Other observations are not logged,
+// because newer ones replace them.
+func (o *observer) logLostReports(notice encoder.ObserveNotice, err error) {
+	if len(notice.Crashes)+len(notice.Innocent) == 0 {
+		return
+	}
+	o.log.Warn().Err(err).Int(recorder.FieldCount, len(notice.Crashes)).Msg(recorder.EventCrashReportLost)
 }
