Reproduce repeats of requests that crash servers

What callers and servers saw: a request that crashes each server that runs it came again and was sent to servers long after it had crashed three.

The stand-in server can now crash at a path and the soak's deployment starts it again later.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	callTimeout = 2 * time.Second
 	// startTimeout bounds the time until a new deployment serves requests.
 	startTimeout = time.Minute
+	// crashDownTime is how long a backend server is down after a request has crashed it.
+	crashDownTime = 5 * time.Second
 	// pollInterval is the time between two checks of an awaited state.
 	pollInterval = 50 * time.Millisecond
 )
@@ -51,6 +54,9 @@
 	serviceOnce   = "once"
 )
 
+// crashPath is the start of the paths of requests that crash backend servers.
+const crashPath = "/crash"
+
 // deployment is a running deployment with its network and its backend servers.
 type deployment struct {
 	// Set at creation.
@@ -68,6 +74,7 @@
 	// serverNumber is the number of the last started backend server.
 	mutex        sync.Mutex
 	backends     []*standin.Backend
+	isClosed     bool
 	version      int
 	serverNumber int
 }
@@ -185,17 +192,35 @@
 	return d.writeSettings(host, false)
 }
 
-// addBackend starts a backend server of a service.
+// addBackend starts a backend server of a service at an unused port.
 func (d *deployment) addBackend(service string) {
+	d.addBackendAt(service, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(d.secondOctet), byte(d.thirdOctet + 2), 1}), 0))
+}
+
+// restartBackend replaces a backend server that has crashed by a new one at its address, after
+// crashDownTime.
+func (d *deployment) restartBackend(crashed *standin.Backend) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.backends = slices.DeleteFunc(d.backends, func(b *standin.Backend) bool { return b == crashed })
+	time.AfterFunc(crashDownTime, func() { d.addBackendAt(crashed.Service(), crashed.Address()) })
+}
+
+// addBackendAt starts a backend server of a service at an address, unless the deployment has been
+// closed.
+func (d *deployment) addBackendAt(service string, at netip.AddrPort) {
 	controls := []string{}
 	for host := 1; host <= keeperCount; host++ {
 		controls = append(controls, d.publicAddress(host, portControl).String())
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.isClosed {
+		return
+	}
 	d.serverNumber++
-	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(d.secondOctet), byte(d.thirdOctet + 2), 1}), 0)
-	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, heartbeatInterval, d.history.recordRun)
+	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, heartbeatInterval, d.history.recordRun,
+		standin.WithCrash(crashPath, d.restartBackend))
 	if err != nil {
 		d.history.expect(false, "backend server: %v", err)
 		return
@@ -232,6 +257,8 @@
 		{Prefix: "/all/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Shards: shards, RowLimit: 5, Coverage: 0.9},
 		{Prefix: "/single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceSingle},
 		{Prefix: "/once/", NonIdempotent: true, Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceOnce},
+		{Prefix: crashPath + "-all/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Shards: shards, RowLimit: 5, Coverage: 0.9},
+		{Prefix: crashPath + "-single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceSingle},
 		{Prefix: fmt.Sprintf("/version-%d/", version), Timeout: 2 * time.Second, Service: serviceSingle},
 	}
 }
@@ -272,6 +299,7 @@
 		p.kill()
 	}
 	d.mutex.Lock()
+	d.isClosed = true
 	backends := d.backends
 	d.mutex.Unlock()
 	for _, b := range backends {
