A crash is noticed while other connections to the server are open

Callers saw: a request that crashes servers was not counted, so that it could be sent on. Cause: whether a server that lost a request has crashed was checked with Warm, which opens no connection if one is open already, for example that of another request whose loss has not been noticed yet; the check then called the server alive.

Probe opens a connection of its own, which the pool keeps within the server's limit. What was wrong is a class: a function whose result means "enough connections" was read as "the server accepts connections". Warm's other callers only want connections.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -123,10 +123,10 @@
 	f := q.forwarder
 	ctx, cancel := context.WithTimeout(f.ctx, crashCheckTimeout)
 	defer cancel()
-	opened, err := f.sender.Warm(ctx, destination, 1)
+	err := f.sender.Probe(ctx, destination)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
-			Str(recorder.FieldServer, string(destination.ID)).Int(recorder.FieldCount, opened).Msg(recorder.EventCrashUnconfirmed)
+			Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrashUnconfirmed)
 		return
 	}
 	f.crashTracker.recordCrash(q.fingerprint, q.prepared.ID, destination.ID)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -89,3 +91,27 @@
 		return len(cleared) == 1 && cleared[0] == crashed
 	})
 }
+
+func TestCrashIsMissedWhileAnotherRequestRuns(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	started := make(chan struct{})
+	finish := make(chan struct{})
+	d.addServer("plates", "a", func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			close(started)
+			<-finish
+			answers("ok")(w, r, n)
+			return
+		}
+		_ = d.servers["a"].server.Listener.Close()
+		dropsConnection(w, r, n)
+	})
+	d.setRoute(matcher.Route{Idempotent: true, Attempts: 1, Destination: matcher.Single{Service: "plates"}})
+	var other sync.WaitGroup
+	other.Go(func() { d.send(context.Background(), "POST", "harmless", 2*time.Second) })
+	defer other.Wait()
+	defer close(finish)
+	<-started
+	d.get()
+	waitFor(t, func() bool { return len(d.forwarder.TakeObservations().Crashes) == 1 })
+}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -152,6 +152,25 @@
 	return opened, nil
 }
 
+// probe opens one connection, however many are open. It keeps the connection if the server's limit
+// allows it.
+func (p *pool) probe(ctx context.Context, to Destination) error {
+	if !p.reserveWarm(to, to.Connections) {
+		socket, err := p.sender.dialer.DialContext(ctx, "tcp", p.address.String())
+		if err != nil {
+			return err
+		}
+		return socket.Close()
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.usableUntil = p.sender.clock.Now().Add(defaultIdleTimeout - idleMargin)
+	p.release(c, true)
+	return nil
+}
+
 // reserveWarm counts one more connection as open if the pool has fewer than wanted and fewer than
 // the server's limit. It returns false otherwise.
 func (p *pool) reserveWarm(to Destination, wanted int) bool {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -213,6 +213,16 @@
 	return p.warm(ctx, to, wanted)
 }
 
+// Probe opens one more connection to a server, however many are open, and returns the error if that
+// fails. The connection is kept if the server's limit allows it.
+func (s *Sender) Probe(ctx context.Context, to Destination) error {
+	p := s.pool(to.Address)
+	if p == nil {
+		return eris.Wrap(ErrNotSent, "the sender is closed")
+	}
+	return p.probe(ctx, to)
+}
+
 // Retain closes the idle connections to addresses that are not listed or are listed with the ID
 // of a different server.
 func (s *Sender) Retain(addresses map[netip.AddrPort]encoder.ServerID) {
