--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -105,14 +105,15 @@
 	return b
 }
 
-// restore loads the directory that an earlier process saved.
+// restore loads the directory and the quarantines that an earlier process saved.
 func (b *Broadcaster) restore() {
+	now := b.clock.Now()
 	saved, err := b.file.Load()
 	if err != nil {
 		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnread)
-		return
+	} else {
+		b.directory.Restore(now, saved)
 	}
-	b.directory.Restore(b.clock.Now(), saved)
 }
 
 // saver saves the directory at intervals.
@@ -135,7 +136,7 @@
 	}
 }
 
-// Save writes the directory to the file if it has changed. A failure is logged and matters only if
+// Save writes the directory to its file if it has changed. A failure is logged and matters only if
 // the keeper restarts before a later save succeeds.
 func (b *Broadcaster) Save() {
 	b.mutex.Lock()
@@ -194,47 +195,75 @@
 
 // Observe records what a dock observed of the servers.
 func (b *Broadcaster) Observe(n encoder.ObserveNotice) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.outlierDetector.Observe(b.clock.Now(), n.Observations)
+}
+
+// ReportCrashes records what a dock holds against requests and the quarantines that it knows of.
+func (b *Broadcaster) ReportCrashes(dock identifier.Incarnation, r encoder.CrashReport) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
-	b.outlierDetector.Observe(now, n.Observations)
-	for _, finding := range b.crashTracker.Observe(now, n.Crashes, n.Innocent) {
-		b.logFinding(finding)
+	findings := append(b.crashTracker.Report(now, dock, r.Crashes), b.crashTracker.Adopt(now, r.Quarantines)...)
+	if len(findings) == 0 {
+		return
 	}
+	for _, f := range findings {
+		b.logFinding(f)
+	}
+	b.updateQuarantines(now)
 }
 
-// logFinding logs that a crash was counted for a fingerprint, or that the fingerprint was cleared.
-func (b *Broadcaster) logFinding(f locator.CrashFinding) {
-	if f.Crash == nil {
-		b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Msg(recorder.EventSuspicionCleared)
+// updateQuarantines computes the quarantines, and if they have changed, wakes all watches and the
+// saver. The caller holds the lock.
+func (b *Broadcaster) updateQuarantines(now time.Time) {
+	quarantines := b.crashTracker.Quarantines(now)
+	digest := quarantinesDigest(quarantines)
+	if digest == b.quarantinesDigest {
 		return
 	}
+	b.quarantines, b.quarantinesDigest = quarantines, digest
+	b.wakeAllWatches()
+}
+
+// logFinding logs that a crash was counted for a fingerprint, that a dock withdrew its crashes, or
+// that another process quarantined the fingerprint.
+func (b *Broadcaster) logFinding(f locator.CrashFinding) {
 	outcome := "suspected"
 	if f.IsQuarantined {
 		outcome = "quarantined"
 	}
-	b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Str(recorder.FieldRequest, f.Crash.Request).
-		Str(recorder.FieldServer, string(f.Crash.Server)).Int(recorder.FieldCount, f.Count).
-		Str(recorder.FieldOutcome, outcome).Msg(recorder.EventCrashCounted)
+	line := b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Str(recorder.FieldOutcome, outcome)
+	switch {
+	case f.Crash != nil:
+		line.Str(recorder.FieldRequest, f.Crash.Request).Str(recorder.FieldServer, string(f.Crash.Server)).
+			Bool(recorder.FieldRepeat, f.Crash.IsRepeat).Int(recorder.FieldCount, f.Count).Msg(recorder.EventCrashCounted)
+	case f.IsQuarantined:
+		line.Msg(recorder.EventQuarantineAdopted)
+	default:
+		line.Msg(recorder.EventSuspicionCleared)
+	}
 }
 
-// evaluateObservations computes the slow servers and the quarantines, and wakes all watches if
-// either has changed.
+// evaluateObservations computes the slow servers and the quarantines that have not ended, and wakes
+// all watches if either has changed.
 func (b *Broadcaster) evaluateObservations() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
-	slowServers, quarantines := b.outlierDetector.SlowServers(now), b.crashTracker.Quarantined(now)
-	newSlowServersDigest, newQuarantinesDigest := slowServersDigest(slowServers), quarantinesDigest(quarantines)
-	if newSlowServersDigest == b.slowServersDigest && newQuarantinesDigest == b.quarantinesDigest {
+	b.updateQuarantines(now)
+	slowServers := b.outlierDetector.SlowServers(now)
+	digest := slowServersDigest(slowServers)
+	if digest == b.slowServersDigest {
 		return
 	}
-	b.slowServers, b.slowServersDigest = slowServers, newSlowServersDigest
-	b.quarantines, b.quarantinesDigest = quarantines, newQuarantinesDigest
+	b.slowServers, b.slowServersDigest = slowServers, digest
 	b.wakeAllWatches()
 }
 
-// quarantinesDigest identifies a list of quarantines. It is zero for an empty list.
+// quarantinesDigest identifies the fingerprints that are quarantined and those that must run
+// isolated. It is zero for an empty list.
 func quarantinesDigest(quarantines []encoder.Quarantine) uint64 {
 	if len(quarantines) == 0 {
 		return 0
@@ -243,6 +272,9 @@
 	for _, q := range quarantines {
 		// xxhash's Write never returns an error.
 		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(q.Fingerprint)))
+		if q.Remaining > 0 {
+			_, _ = d.Write([]byte{1})
+		}
 	}
 	return d.Sum64() | 1
 }
@@ -370,7 +402,7 @@
 	s := b.keeperState()
 	now := b.clock.Now()
 	b.docks.recordWatch(now, dock, request.Dock)
-	reply := b.newReply(s, request)
+	reply := b.newReply(s, request, now)
 	b.addDocks(&reply, request, now)
 	b.addServers(&reply, request, now)
 	switch {
@@ -385,7 +417,7 @@
 
 // newReply returns a reply with the keeper's state. It contains slow servers, quarantines and
 // members only if the dock holds others. The caller holds the lock.
-func (b *Broadcaster) newReply(s KeeperState, request encoder.WatchRequest) encoder.WatchReply {
+func (b *Broadcaster) newReply(s KeeperState, request encoder.WatchRequest, now time.Time) encoder.WatchReply {
 	reply := encoder.WatchReply{
 		Keeper:         b.self,
 		Seen:           b.base + uint64(len(b.changes)),
@@ -403,7 +435,7 @@
 		reply.Verdicts = b.slowServers
 	}
 	if reply.QuarantinesDigest != request.QuarantinesDigest {
-		reply.Quarantines = b.quarantines
+		reply.Quarantines = b.crashTracker.Quarantines(now)
 	}
 	if reply.MembersDigest != request.MembersDigest {
 		reply.Members = s.Members
@@ -435,7 +467,8 @@
 }
 
 // isUrgent reports whether a reply must be sent at once. Changed members, slow servers and
-// quarantines count only from the leader, which has them first.
+// quarantines count only from the leader, so that not all keepers answer at once. The others include
+// them in their next reply.
 func isUrgent(reply encoder.WatchReply, request encoder.WatchRequest) bool {
 	if reply.IsWhole || reply.Configuration > request.Configuration {
 		return true
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -91,4 +91,6 @@
 	KindGather
 	// KindMore carries a MoreRequest from a dock to the dock that owns the shards.
 	KindMore
+	// KindCrashReport carries a CrashReport from a dock to a keeper.
+	KindCrashReport
 )
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermore"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_report"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121, 133}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermore"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_report"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -43,9 +43,10 @@
 	_ = x[KindObserve-16]
 	_ = x[KindGather-17]
 	_ = x[KindMore-18]
+	_ = x[KindCrashReport-19]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore, KindCrashReport}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:     KindNone,
@@ -67,6 +68,7 @@
 	_KindName[104:111]: KindObserve,
 	_KindName[111:117]: KindGather,
 	_KindName[117:121]: KindMore,
+	_KindName[121:133]: KindCrashReport,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -89,6 +91,7 @@
 	_KindLowerName[104:111]: KindObserve,
 	_KindLowerName[111:117]: KindGather,
 	_KindLowerName[117:121]: KindMore,
+	_KindLowerName[121:133]: KindCrashReport,
 }
 
 var _KindNames = []string{
@@ -111,6 +114,7 @@
 	_KindName[104:111],
 	_KindName[111:117],
 	_KindName[117:121],
+	_KindName[121:133],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -100,8 +100,8 @@
 	// is empty if the request has the same digest.
 	Fellows       []Dock
 	FellowsDigest uint64
-	// Quarantines lists, on the leader, the fingerprints that must not run. It is empty if the
-	// request has the same digest.
+	// Quarantines lists the fingerprints that the keeper has quarantined, and with no remaining time
+	// those that must run isolated. It is empty if the request has the same digest.
 	Quarantines       []Quarantine
 	QuarantinesDigest uint64
 }
@@ -120,16 +120,19 @@
 // ObserveNotice carries a dock's observations to the leader.
 type ObserveNotice struct {
 	Observations []Observation
-	Crashes      []Crash `msgpack:",omitempty"`
-	// Innocent lists fingerprints that were reported in Crashes and have been answered since.
-	Innocent []identifier.Fingerprint `msgpack:",omitempty"`
 }
 
-// IsEmpty reports whether the notice contains nothing to send.
-func (n ObserveNotice) IsEmpty() bool {
-	return len(n.Observations) == 0 && len(n.Crashes) == 0 && len(n.Innocent) == 0
+// CrashReport carries what a dock holds against requests to a keeper. It replaces the dock's earlier
+// reports.
+type CrashReport struct {
+	Crashes []Crash `msgpack:",omitempty"`
+	// Quarantines lists the quarantines that the dock knows of.
+	Quarantines []Quarantine `msgpack:",omitempty"`
 }
 
+// CrashReportReply acknowledges a CrashReport.
+type CrashReportReply struct{}
+
 // Crash reports that a server terminated while it ran a request.
 type Crash struct {
 	Fingerprint identifier.Fingerprint `msgpack:"f"`
@@ -137,6 +140,9 @@
 	Request string `msgpack:"r"`
 	// Server is the server that terminated.
 	Server ServerID `msgpack:"i,omitempty"`
+	// IsRepeat is set if the request was sent to the server after the dock knew of an earlier crash
+	// with the fingerprint.
+	IsRepeat bool `msgpack:"p,omitempty"`
 }
 
 // SlowServer identifies a server that is slow.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -18,6 +18,9 @@
 	target selector.Target
 	// isBudgeted is set if the attempt was charged to the repeat budget.
 	isBudgeted bool
+	// isRepeat is set if the attempt was sent after an equal request was known to have crashed a
+	// server.
+	isRepeat bool
 	// index is the attempt's index in the job's trace.
 	index int
 	// typicalLatency is the median latency of the route's requests at a single server, or zero
@@ -91,7 +94,9 @@
 	}
 	r.outcome = a.classify(&reply, err)
 	a.updateSelector(now, flight, r)
-	if r.outcome != AttemptAnswered {
+	if r.outcome == AttemptAnswered {
+		q.recordAnswer()
+	} else {
 		f.reporter.countAttempt(a.job.service, r.outcome)
 	}
 	f.onObserved()
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -11,6 +11,7 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/sender"
 )
@@ -18,26 +19,39 @@
 const (
 	// crashCheckTimeout bounds the check whether a server that lost a request has crashed.
 	crashCheckTimeout = 300 * time.Millisecond
-	// maxSuspects bounds the fingerprints whose next success is reported.
-	maxSuspects = 1024
+	// maxSuspects bounds the fingerprints with crashes that a dock keeps.
+	maxSuspects = 64
+	// isolationTime is how long a fingerprint runs isolated after a keeper has listed it.
+	isolationTime = locator.CrashWindow
 )
 
-// crashTracker holds the quarantined requests, which must not run, and collects reports on requests
-// whose servers crashed while they ran. It is safe for concurrent use.
+// crashTracker holds the requests that must not run or must run isolated, and the crashes that this
+// dock holds against requests. It is safe for concurrent use.
 type crashTracker struct {
 	// Guarded by mutex.
 	mutex sync.Mutex
-	// quarantinedUntil holds the ends of the quarantines.
+	// quarantinedUntil and isolatedUntil hold the ends of the restrictions.
 	quarantinedUntil map[identifier.Fingerprint]time.Time
-	// suspects are the requests that crashed a server and have not been answered since.
-	suspects map[identifier.Fingerprint]bool
-	crashes  []encoder.Crash
-	cleared  []identifier.Fingerprint
+	isolatedUntil    map[identifier.Fingerprint]time.Time
+	// suspects are the fingerprints that crashed a server and have not been answered since.
+	suspects map[identifier.Fingerprint]suspect
+	// version is increased by each change of the suspects and each quarantine of this dock.
+	version uint64
+}
+
+// suspect holds the crashes of one fingerprint.
+type suspect struct {
+	crashes   []encoder.Crash
+	lastCrash time.Time
 }
 
 // newCrashTracker returns an empty crashTracker.
 func newCrashTracker() *crashTracker {
-	return &crashTracker{quarantinedUntil: map[identifier.Fingerprint]time.Time{}, suspects: map[identifier.Fingerprint]bool{}}
+	return &crashTracker{
+		quarantinedUntil: map[identifier.Fingerprint]time.Time{},
+		isolatedUntil:    map[identifier.Fingerprint]time.Time{},
+		suspects:         map[identifier.Fingerprint]suspect{},
+	}
 }
 
 // fingerprint returns a hash of a request's method, host, target and body. Requests that are
@@ -60,61 +74,127 @@
 	return max(0, c.quarantinedUntil[f].Sub(now))
 }
 
-// setQuarantines adds the keepers' list of quarantines. Quarantines that are no longer listed stay
-// until their end, because a new leader of the keepers does not list earlier ones.
-func (c *crashTracker) setQuarantines(now time.Time, list []encoder.Quarantine) {
+// mustIsolate reports whether a request may run on one server at a time only until it is answered.
+func (c *crashTracker) mustIsolate(now time.Time, f identifier.Fingerprint) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for f, until := range c.quarantinedUntil {
-		if !now.Before(until) {
-			delete(c.quarantinedUntil, f)
-		}
-	}
+	return len(c.suspects[f].crashes) > 0 || now.Before(c.isolatedUntil[f])
+}
+
+// setQuarantines adds a keeper's list of quarantines and returns those that are new. Quarantines
+// that are not listed stay until their end, because the keeper may not know of them yet.
+func (c *crashTracker) setQuarantines(now time.Time, list []encoder.Quarantine) []encoder.Quarantine {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.removeExpired(now)
+	added := []encoder.Quarantine{}
 	for _, q := range list {
-		c.quarantinedUntil[q.Fingerprint] = now.Add(q.Remaining)
+		switch {
+		case q.Remaining <= 0:
+			c.isolatedUntil[q.Fingerprint] = now.Add(isolationTime)
+		case !now.Before(c.quarantinedUntil[q.Fingerprint]):
+			c.quarantine(q.Fingerprint, now.Add(q.Remaining))
+			added = append(added, q)
+		}
 	}
+	return added
 }
 
-// recordCrash records that a server crashed while it ran a request. It does nothing if there are
-// maxSuspects suspects.
-func (c *crashTracker) recordCrash(f identifier.Fingerprint, request string, server encoder.ServerID) {
+// recordCrash records that a server crashed while it ran a request, unless the request is
+// quarantined or there are maxSuspects others. It reports whether the crashes that this dock knows of
+// suffice to quarantine the request, which it then does.
+func (c *crashTracker) recordCrash(now time.Time, crash encoder.Crash) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.suspects) >= maxSuspects {
-		return
+	c.removeExpired(now)
+	f := crash.Fingerprint
+	s, isKnown := c.suspects[f]
+	if now.Before(c.quarantinedUntil[f]) || (!isKnown && len(c.suspects) >= maxSuspects) {
+		return false
+	}
+	c.version++
+	s = suspect{crashes: locator.AppendCrash(s.crashes, crash), lastCrash: now}
+	c.suspects[f] = s
+	if locator.Assess(s.crashes) != locator.SuspicionQuarantined {
+		return false
 	}
-	c.suspects[f] = true
-	c.crashes = append(c.crashes, encoder.Crash{Fingerprint: f, Request: request, Server: server})
+	c.quarantine(f, now.Add(locator.QuarantineTime))
+	return true
+}
+
+// quarantine starts a quarantine. The crashes are no longer needed. The caller holds the lock.
+func (c *crashTracker) quarantine(f identifier.Fingerprint, until time.Time) {
+	c.quarantinedUntil[f] = until
+	c.version++
+	c.withdraw(f)
 }
 
-// recordSuccess records that a request was answered, and reports it if it was a suspect.
+// recordSuccess records that a request was answered, so that it did not cause the crashes.
 func (c *crashTracker) recordSuccess(f identifier.Fingerprint) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.suspects[f] {
+	delete(c.isolatedUntil, f)
+	c.withdraw(f)
+}
+
+// withdraw forgets the crashes of a fingerprint. The caller holds the lock.
+func (c *crashTracker) withdraw(f identifier.Fingerprint) {
+	if _, isSuspect := c.suspects[f]; isSuspect {
 		delete(c.suspects, f)
-		c.cleared = append(c.cleared, f)
+		c.version++
+	}
+}
+
+// removeExpired removes restrictions that have ended and old crashes. The caller holds the lock.
+func (c *crashTracker) removeExpired(now time.Time) {
+	for _, ends := range []map[identifier.Fingerprint]time.Time{c.quarantinedUntil, c.isolatedUntil} {
+		for f, end := range ends {
+			if !now.Before(end) {
+				delete(ends, f)
+			}
+		}
+	}
+	for f, s := range c.suspects {
+		if now.Sub(s.lastCrash) > locator.CrashWindow {
+			c.withdraw(f)
+		}
 	}
 }
 
-// takeReports returns the crashes and the cleared fingerprints since the last call.
-func (c *crashTracker) takeReports() ([]encoder.Crash, []identifier.Fingerprint) {
+// report returns the report for the keepers, and its version.
+func (c *crashTracker) report(now time.Time) (encoder.CrashReport, uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	crashes, cleared := c.crashes, c.cleared
-	c.crashes, c.cleared = nil, nil
-	return crashes, cleared
+	c.removeExpired(now)
+	r := encoder.CrashReport{}
+	for _, s := range c.suspects {
+		r.Crashes = append(r.Crashes, s.crashes...)
+	}
+	for f, end := range c.quarantinedUntil {
+		r.Quarantines = append(r.Quarantines, encoder.Quarantine{Fingerprint: f, Remaining: end.Sub(now)})
+	}
+	return r, c.version
+}
+
+// CrashReport returns what this dock holds against requests, and a version that changes with it.
+func (f *Forwarder) CrashReport() (encoder.CrashReport, uint64) {
+	return f.crashTracker.report(f.clock.Now())
 }
 
-// SetQuarantines quarantines requests, which must not run until their quarantine ends.
+// SetQuarantines adds the quarantines that a keeper knows of. The requests must not run until their
+// quarantine ends, or run isolated if no time remains.
 func (f *Forwarder) SetQuarantines(list []encoder.Quarantine) {
-	f.crashTracker.setQuarantines(f.clock.Now(), list)
-	for _, q := range list {
-		f.log.Warn().Uint64(recorder.FieldFingerprint, uint64(q.Fingerprint)).
-			Int64(recorder.FieldRetryAfter, q.Remaining.Milliseconds()).Msg(recorder.EventQuarantine)
+	for _, q := range f.crashTracker.setQuarantines(f.clock.Now(), list) {
+		f.logQuarantine(q)
 	}
 }
 
+// logQuarantine logs that requests with a fingerprint must not run.
+func (f *Forwarder) logQuarantine(q encoder.Quarantine) {
+	f.log.Warn().Uint64(recorder.FieldFingerprint, uint64(q.Fingerprint)).
+		Int64(recorder.FieldRetryAfter, q.Remaining.Milliseconds()).Msg(recorder.EventQuarantine)
+}
+
 // confirmCrash checks whether a server that lost a request has crashed, and records the crash. The
 // server counts as crashed if its address refuses connections. A server that lost only the answer
 // still accepts them.
@@ -129,8 +209,27 @@
 			Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrashUnconfirmed)
 		return
 	}
-	f.crashTracker.recordCrash(q.fingerprint, q.prepared.ID, destination.ID)
 	f.log.Warn().Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
-		Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrash)
+		Str(recorder.FieldServer, string(destination.ID)).Bool(recorder.FieldRepeat, a.isRepeat).Msg(recorder.EventCrash)
+	if q.wasAnswered.Load() {
+		return
+	}
+	isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
+		Fingerprint: q.fingerprint, Request: q.prepared.ID, Server: destination.ID, IsRepeat: a.isRepeat,
+	})
+	if isQuarantined {
+		f.logQuarantine(encoder.Quarantine{Fingerprint: q.fingerprint, Remaining: locator.QuarantineTime})
+	}
+	if q.wasAnswered.Load() {
+		// The answer arrived while the crash was recorded.
+		f.crashTracker.recordSuccess(q.fingerprint)
+	}
 	f.onObserved()
 }
+
+// recordAnswer records that a server has answered the request, which therefore crashes none.
+func (q *query) recordAnswer() {
+	if q.wasAnswered.CompareAndSwap(false, true) {
+		q.forwarder.crashTracker.recordSuccess(q.fingerprint)
+	}
+}
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,7 +13,6 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/forwarder"
-	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/matcher"
 )
 
@@ -36,21 +36,35 @@
 	return d
 }
 
+// crashes returns the crashes that the dock reports.
+func (d *deployment) crashes() []encoder.Crash {
+	report, _ := d.forwarder.CrashReport()
+	return report.Crashes
+}
+
+// executions returns how many requests arrived at all servers.
+func (d *deployment) executions() int {
+	sum := 0
+	for _, s := range d.servers {
+		n, _ := s.count()
+		sum += n
+	}
+	return sum
+}
+
 func TestCrashesAreReportedAndQuarantinedRequestIsRefused(t *testing.T) {
 	d := newCrashingDeployment(t, "a", "b")
 	d.get()
-	reported := encoder.ObserveNotice{}
-	waitFor(t, func() bool {
-		reported.Crashes = append(reported.Crashes, d.forwarder.TakeObservations().Crashes...)
-		return len(reported.Crashes) == 2
-	})
-	assert.Equal(t, reported.Crashes[0].Fingerprint, reported.Crashes[1].Fingerprint)
+	waitFor(t, func() bool { return len(d.crashes()) == 2 })
+	reported := d.crashes()
+	assert.Equal(t, reported[0].Fingerprint, reported[1].Fingerprint)
 	for i, server := range []encoder.ServerID{"a", "b"} {
-		assert.Equal(t, reported.Crashes[i].Request, "id-1")
-		assert.Equal(t, reported.Crashes[i].Server, server)
+		assert.Equal(t, reported[i].Request, "id-1")
+		assert.Equal(t, reported[i].Server, server)
+		assert.Equal(t, reported[i].IsRepeat, i > 0)
 	}
 
-	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: reported.Crashes[0].Fingerprint, Remaining: time.Minute}})
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: reported[0].Fingerprint, Remaining: time.Minute}})
 	before, _ := d.servers["a"].count()
 	refused := expect[forwarder.Refused](t, d.get())
 	assert.Equal(t, refused.Reason, forwarder.ReasonQuarantined)
@@ -68,28 +82,110 @@
 	d.setRoute(matcher.Route{Idempotent: true, Destination: matcher.Single{Service: "plates"}})
 	d.get()
 	time.Sleep(100 * time.Millisecond)
-	assert.Equal(t, len(d.forwarder.TakeObservations().Crashes), 0)
+	assert.Equal(t, len(d.crashes()), 0)
 }
 
 func TestAnswerAfterACrashClearsTheRequest(t *testing.T) {
 	d := newCrashingDeployment(t, "a")
 	d.get()
-	crashed := identifier.Fingerprint(0)
-	waitFor(t, func() bool {
-		for _, c := range d.forwarder.TakeObservations().Crashes {
-			crashed = c.Fingerprint
-		}
-		return crashed != 0
-	})
+	waitFor(t, func() bool { return len(d.crashes()) == 1 })
+	_, version := d.forwarder.CrashReport()
 	d.addServer("plates", "b", answers("ok"))
 	waitFor(t, func() bool {
 		_, isAnswer := d.get().(forwarder.Answer)
 		return isAnswer
 	})
+	assert.Equal(t, len(d.crashes()), 0)
+	_, newVersion := d.forwarder.CrashReport()
+	assert.Assert(t, newVersion > version, "the withdrawal must be reported")
+}
+
+// crashingShards is the number of shards of the tests below. Each shard has two servers.
+const crashingShards = 8
+
+// newScatteredDeployment returns a deployment whose servers handle a scattered request with two
+// handlers: the first server of each shard that gets it with one, and the second with the other.
+func newScatteredDeployment(t *testing.T, first, second handler) *deployment {
+	t.Helper()
+	d := newDeployment(t, ampleBudget)
+	for _, s := range services(crashingShards) {
+		arrived := atomic.Int32{}
+		for _, id := range []string{"a", "b"} {
+			d.addServer(string(s), string(s)+id, func(w http.ResponseWriter, r *http.Request, n int) {
+				if arrived.Add(1) == 1 {
+					first(w, r, n)
+					return
+				}
+				second(w, r, n)
+			})
+		}
+	}
+	d.setRoute(scatterRoute(crashingShards, 5, 0.5, time.Second))
+	return d
+}
+
+// TestScatteredRequestCrashesAllServersOfAllShards guards against repeats of a request to all shards
+// after it has crashed a server of each.
+func TestScatteredRequestCrashesAllServersOfAllShards(t *testing.T) {
+	d := newScatteredDeployment(t, crashesServer, crashesServer)
+	expect[forwarder.Failed](t, d.get())
+	assert.Equal(t, d.executions(), crashingShards+1, "one repeat shows that the request is the cause")
 	waitFor(t, func() bool {
-		cleared := d.forwarder.TakeObservations().Innocent
-		return len(cleared) == 1 && cleared[0] == crashed
+		report, _ := d.forwarder.CrashReport()
+		return len(report.Quarantines) == 1
 	})
+	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonQuarantined)
+	assert.Equal(t, d.executions(), crashingShards+1)
+}
+
+// TestHarmlessRequestIsAnsweredAfterAllItsServersCrashed replays servers that fail together while a
+// harmless request runs on all of them.
+func TestHarmlessRequestIsAnsweredAfterAllItsServersCrashed(t *testing.T) {
+	d := newScatteredDeployment(t, crashesServer, answers(record(1)))
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 0)
+	assert.Equal(t, d.executions(), 2*crashingShards)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(d.crashes()), 0)
+}
+
+// TestLostShardIsRetriedAfterTheFirstAnswer has one server that answers late and seven that lose the
+// request at once.
+func TestLostShardIsRetriedAfterTheFirstAnswer(t *testing.T) {
+	late := atomic.Bool{}
+	first := func(w http.ResponseWriter, r *http.Request, n int) {
+		if late.CompareAndSwap(false, true) {
+			after(20*time.Millisecond, answers(record(9)))(w, r, n)
+			return
+		}
+		dropsConnection(w, r, n)
+	}
+	d := newScatteredDeployment(t, first, answers(record(1)))
+	began := time.Now()
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 0)
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+}
+
+func TestSuspectRequestRunsOnOneServerFirst(t *testing.T) {
+	d := newScatteredDeployment(t, crashesServer, crashesServer)
+	other := newCrashingDeployment(t, "a")
+	other.get()
+	waitFor(t, func() bool { return len(other.crashes()) == 1 })
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: other.crashes()[0].Fingerprint}})
+	expect[forwarder.Failed](t, d.get())
+	assert.Equal(t, d.executions(), 1)
+}
+
+func TestSuspectRequestThatIsAnsweredRunsOnAllShards(t *testing.T) {
+	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
+	other := newCrashingDeployment(t, "a")
+	other.get()
+	waitFor(t, func() bool { return len(other.crashes()) == 1 })
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: other.crashes()[0].Fingerprint}})
+	g := expect[forwarder.Gathered](t, d.get())
+	assert.Equal(t, g.Missing, 0)
+	assert.Equal(t, d.executions(), crashingShards)
 }
 
 func TestCrashIsMissedWhileAnotherRequestRuns(t *testing.T) {
@@ -113,5 +209,5 @@
 	defer close(finish)
 	<-started
 	d.get()
-	waitFor(t, func() bool { return len(d.forwarder.TakeObservations().Crashes) == 1 })
+	waitFor(t, func() bool { return len(d.crashes()) == 1 })
 }
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"banyandock.example/banyandock/internal/assigner"
@@ -77,7 +78,14 @@
 	}
 	now := f.clock.Now()
 	own := []identifier.ServiceName{}
+	isPartial := len(services) < len(q.services())
 	for _, g := range groups {
+		if isPartial {
+			g.Services = slices.DeleteFunc(slices.Clone(g.Services), func(s identifier.ServiceName) bool { return !slices.Contains(services, s) })
+		}
+		if len(g.Services) == 0 {
+			continue
+		}
 		dock, isRemote := f.owners.choose(now, g)
 		if isRemote {
 			q.delegations = append(q.delegations, q.newDelegation(now, dock, g))
@@ -170,6 +178,7 @@
 		return q.handleOwnerError(now, d, reply.err)
 	}
 	d.hasReplied = true
+	q.isolation.hasAnswer = q.isolation.hasAnswer || slices.ContainsFunc(reply.reply.Parts, func(p encoder.GatherPart) bool { return p.Stamp != "" })
 	d.lastReplyElapsed = now.Sub(q.request.Arrived)
 	rows := reply.reply.Rows
 	for _, p := range reply.reply.Parts {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -219,12 +219,8 @@
 	}
 }
 
-// TakeObservations returns the observations of servers, the crashes and the fingerprints of
-// requests that were answered after a crash, all since the last call.
-func (f *Forwarder) TakeObservations() encoder.ObserveNotice {
-	reports, cleared := f.crashTracker.takeReports()
-	return encoder.ObserveNotice{Observations: f.selector.TakeObservations(), Crashes: reports, Innocent: cleared}
-}
+// TakeObservations returns the observations of servers since the last call.
+func (f *Forwarder) TakeObservations() []encoder.Observation { return f.selector.TakeObservations() }
 
 // SetSlowServers replaces the list of servers that most docks consider slow.
 func (f *Forwarder) SetSlowServers(slowServers []encoder.SlowServer) {
--- /dev/null
+++ b/internal/forwarder/isolation.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"banyandock.example/banyandock/internal/identifier"
+)
+
+// defaultIsolationPatience is how long a lost shard waits for the first answer of another one if the
+// route's latency is not known yet.
+const defaultIsolationPatience = 50 * time.Millisecond
+
+// isolation keeps a query whose request may crash servers from reaching more than one of them at a
+// time. A request that a server has answered crashes none. Only the query's goroutine accesses it.
+type isolation struct {
+	// isSuspect is set if an earlier request with the fingerprint crashed a server.
+	isSuspect bool
+	// hasLost is set after a server has lost the request, hasRetried after it was sent again since,
+	// and hasAnswer after a server has answered it.
+	hasLost    bool
+	hasRetried bool
+	hasAnswer  bool
+	// isGuilty is set if the request was lost again while it ran on a single server.
+	isGuilty bool
+	// inFlight counts the attempts without a result, and waiting the jobs that wait to retry.
+	inFlight int
+	waiting  int
+	// patientUntil is how long the first retry waits for an answer to another attempt.
+	patientUntil time.Time
+	// held are the services that the request is not sent to before it is answered by another one.
+	held []identifier.ServiceName
+}
+
+// isActive reports whether the request may run on one server at a time only.
+func (i *isolation) isActive() bool { return (i.isSuspect || i.hasLost) && !i.hasAnswer }
+
+// mustWait reports whether a retry after a loss must wait for the result of another attempt.
+func (i *isolation) mustWait(now time.Time) bool {
+	return i.isActive() && i.inFlight > 0 && (i.hasRetried || now.Before(i.patientUntil))
+}
+
+// begin records that an attempt is sent. It reports whether the request was known to have lost or
+// crashed a server before.
+func (i *isolation) begin() bool {
+	i.inFlight++
+	i.hasRetried = i.hasRetried || i.hasLost
+	return i.isSuspect || i.hasLost
+}
+
+// end records the result of an attempt.
+func (i *isolation) end(r attemptResult) {
+	i.inFlight--
+	switch r.outcome {
+	case AttemptAnswered:
+		i.hasAnswer = true
+	case AttemptLost:
+		i.isGuilty = i.isGuilty || (i.isActive() && r.attempt.isRepeat)
+		i.hasLost = true
+	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptCancelled:
+	}
+}
+
+// begin sends the request to services, or first to a single one, selected by the fingerprint, if an
+// equal request may have crashed servers. It returns the outcome, or nil if the query goes on.
+func (q *query) begin(services []identifier.ServiceName) Outcome {
+	f := q.forwarder
+	now := f.clock.Now()
+	patience := f.latency(q.route.Name).High()
+	if patience <= 0 {
+		patience = defaultIsolationPatience
+	}
+	q.isolation.patientUntil = now.Add(patience)
+	q.isolation.isSuspect = f.crashTracker.mustIsolate(now, q.fingerprint)
+	if !q.isolation.isSuspect || len(services) < 2 {
+		return q.start(q.delegate(services))
+	}
+	first := int(uint64(q.fingerprint) % uint64(len(services)))
+	q.isolation.held = slices.Delete(slices.Clone(services), first, first+1)
+	return q.start(services[first : first+1])
+}
+
+// continueIsolated sends the request to the services that were held, and lets jobs retry that waited,
+// once the isolation allows it. It returns the outcome, or nil if the query goes on.
+func (q *query) continueIsolated(now time.Time) Outcome {
+	i := &q.isolation
+	held := i.held
+	switch {
+	case len(held) > 0 && i.hasAnswer:
+		i.held = nil
+		if o := q.start(q.delegate(held)); o != nil {
+			return o
+		}
+	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
+		i.held = nil
+		return q.failServices(held)
+	}
+	if i.waiting == 0 {
+		return nil
+	}
+	for _, j := range q.jobs {
+		if !j.isAwaitingIsolation || i.mustWait(now) {
+			continue
+		}
+		if jobResult, isOver := j.resumeRetry(now); isOver {
+			if o := q.collector.addResult(jobResult); o != nil {
+				return o
+			}
+		}
+	}
+	return nil
+}
+
+// areJobsOver reports whether all jobs have a result.
+func (q *query) areJobsOver() bool {
+	return !slices.ContainsFunc(q.jobs, func(j *job) bool { return !j.isOver })
+}
+
+// failServices ends services without sending them the request. It returns the outcome, or nil if the
+// query goes on.
+func (q *query) failServices(services []identifier.ServiceName) Outcome {
+	for _, s := range services {
+		if o := q.collector.addResult(result{service: s, reason: ReasonLost}); o != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+// nextIsolated returns the earlier of next and the time at which a job that waits for the isolation
+// may retry.
+func (q *query) nextIsolated(next time.Time) time.Time {
+	if q.isolation.hasRetried || q.isolation.waiting == 0 {
+		return next
+	}
+	return earlier(next, q.isolation.patientUntil)
+}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -13,6 +13,8 @@
 	// maxSends bounds the servers that one job sends the request to, including those that did
 	// not run it.
 	maxSends = 6
+	// isolationRecheck is how long a hedge is postponed while the query is isolated.
+	isolationRecheck = 5 * time.Millisecond
 	// defaultAttempts is the limit for routes that do not set one.
 	defaultAttempts = 2
 )
@@ -34,6 +36,10 @@
 	isOver   bool
 	// maxRuns bounds runs.
 	maxRuns int
+	// hasLost is set after a server has lost the request. isAwaitingIsolation is set while the job
+	// waits to retry until the query's isolation allows it.
+	hasLost             bool
+	isAwaitingIsolation bool
 	// isAwaitingPermit is set while the job waits for the permission to run once more.
 	isAwaitingPermit bool
 	// failureReply is a server's failure reply. It is passed on if no server answers with success.
@@ -94,6 +100,10 @@
 		j.isAwaitingPermit = true
 		return
 	}
+	if j.query.isolation.isActive() {
+		j.hedgeAt = now.Add(isolationRecheck)
+		return
+	}
 	need := selector.EarlyHedge
 	if !now.Before(j.latestHedgeAt) {
 		need = selector.LateHedge
@@ -153,8 +163,9 @@
 	j.sends++
 	j.runs++
 	j.inFlight++
+	isRepeat := j.query.isolation.begin()
 	index := j.trace.begin(cause, target, now.Sub(j.query.request.Arrived))
-	f.dispatch(&attempt{job: j, target: target, isBudgeted: isBudgeted, index: index, typicalLatency: j.latency.Median()})
+	f.dispatch(&attempt{job: j, target: target, isBudgeted: isBudgeted, isRepeat: isRepeat, index: index, typicalLatency: j.latency.Median()})
 	return true
 }
 
@@ -162,6 +173,8 @@
 // attempts. It returns the job's result and true when the job ends.
 func (j *job) handleResult(now time.Time, r attemptResult) (result, bool) {
 	j.inFlight--
+	j.query.isolation.end(r)
+	j.hasLost = j.hasLost || r.outcome == AttemptLost
 	j.trace.end(r)
 	if j.isOver {
 		return result{}, false
@@ -214,17 +227,33 @@
 	return j.finish(j.failureResult())
 }
 
+// resumeRetry continues a job that waited for the query's isolation. It returns the job's result and
+// true if no attempt is in flight and none can be started.
+func (j *job) resumeRetry(now time.Time) (result, bool) {
+	j.isAwaitingIsolation = false
+	j.query.isolation.waiting--
+	if j.retry(now, false) || j.inFlight > 0 {
+		return result{}, false
+	}
+	return j.finish(j.failureResult())
+}
+
 // retry sends the request to another server after an attempt failed, or waits for the permission
 // to do so. It returns false if a retry is not allowed or there is no further server.
 func (j *job) retry(now time.Time, isBudgetExempt bool) bool {
 	mayRepeat := j.query.route.Idempotent || j.runs == 0
-	if !mayRepeat || !j.mayRunMore() {
+	if !mayRepeat || !j.mayRunMore() || j.query.isIncriminated(now) {
 		return false
 	}
 	if j.needsPermit() {
 		j.isAwaitingPermit = true
 		return true
 	}
+	if j.hasLost && j.query.isolation.mustWait(now) {
+		j.isAwaitingIsolation = true
+		j.query.isolation.waiting++
+		return true
+	}
 	if isBudgetExempt {
 		return j.startAttempt(now, CauseRetry, false)
 	}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/identifier"
@@ -59,6 +60,10 @@
 	// the limit.
 	isLimitedToOneRun bool
 	repeatPermit      chan struct{}
+	// isolation limits the servers that run a request that may crash them. wasAnswered is set once a
+	// server has answered the request.
+	isolation   isolation
+	wasAnswered atomic.Bool
 	// results receives the results of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -150,9 +155,6 @@
 		return Refused{After: congestedRetryAfter, Reason: ReasonCongested}
 	}
 	o := q.answer()
-	if summarize(o).isAnswer() {
-		f.crashTracker.recordSuccess(q.fingerprint)
-	}
 	if _, ok := o.(Failed); ok {
 		// The answers that are still outstanding are not needed.
 		q.cancel()
@@ -177,7 +179,7 @@
 func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
 	q.collector = c
 	q.results = make(chan attemptResult, len(services))
-	if o := q.start(q.delegate(services)); o != nil {
+	if o := q.begin(services); o != nil {
 		return o
 	}
 	timer := q.forwarder.clock.NewTimer(0)
@@ -188,6 +190,9 @@
 		if o == nil {
 			o = q.replaceSilentOwners(now)
 		}
+		if o == nil {
+			o = q.continueIsolated(now)
+		}
 		if o != nil {
 			return o
 		}
@@ -198,6 +203,14 @@
 	}
 }
 
+// isIncriminated reports whether the request must not be sent again, because it crashes servers.
+func (q *query) isIncriminated(now time.Time) bool {
+	if q.isolation.isGuilty && len(q.services()) > 1 {
+		return true
+	}
+	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprint) > 0
+}
+
 // wait handles the next event. It returns the outcome, or nil if the query goes on.
 func (q *query) wait(wake <-chan time.Time) Outcome {
 	select {
@@ -278,7 +291,7 @@
 			next = d.silenceDeadline
 		}
 	}
-	return next
+	return q.nextIsolated(next)
 }
 
 // services returns the services of the route's destination.
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -64,9 +64,6 @@
 	isComplete bool
 }
 
-// isAnswer reports whether the caller received a complete or partial answer.
-func (s summary) isAnswer() bool { return s.isComplete || s.name == outcomePartial }
-
 // summarize returns the summary of an outcome.
 func summarize(o Outcome) summary {
 	switch o := o.(type) {
--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,112 +11,226 @@
 )
 
 const (
-	// crashLimit is the number of requests with one fingerprint that must each have crashed a
-	// server before the fingerprint is quarantined. It is greater than one because a request may
-	// merely have run on the same server as the one that crashed it.
+	// crashLimit is the number of servers that requests with one fingerprint must have crashed
+	// before the fingerprint is quarantined. It is greater than one because a request may merely
+	// have run on the same server as the one that crashed it.
 	crashLimit = 3
-	// crashWindow is the time after a fingerprint's last crash from which the fingerprint may be
-	// dropped; this happens when another one is added. quarantineTime is the duration of a
-	// quarantine.
-	crashWindow    = 10 * time.Minute
-	quarantineTime = 10 * time.Minute
-	// maxFingerprints bounds the tracked fingerprints. maxRequests bounds the tracked requests of
-	// each fingerprint.
-	maxFingerprints = 4096
-	maxRequests     = 8
+	// QuarantineTime is the duration of a fingerprint's first quarantine. Each further one is twice
+	// as long as the one before, up to maxQuarantineTime.
+	QuarantineTime    = 10 * time.Minute
+	maxQuarantineTime = 24 * time.Hour
+	// CrashWindow is the time after which a crash no longer counts.
+	CrashWindow = 10 * time.Minute
+	// maxReports bounds the docks whose reports are kept, and maxQuarantines the fingerprints that
+	// are or were quarantined.
+	maxReports     = 2048
+	maxQuarantines = 4096
 )
 
-// CrashTracker finds requests that crash backend servers from the observations of all docks. A
-// single one of many docks sees too few requests with a fingerprint to detect that they crash
-// servers. It is not safe for concurrent use.
+// Suspicion is the assessment of a fingerprint.
+type Suspicion uint8
+
+const (
+	// SuspicionNone means that requests with the fingerprint may run.
+	SuspicionNone Suspicion = iota
+	// SuspicionIsolated means that they may run on one server at a time until one is answered.
+	SuspicionIsolated
+	// SuspicionQuarantined means that they must not run.
+	SuspicionQuarantined
+)
+
+// Assess returns the assessment of the crashes of one fingerprint. A fingerprint is quarantined if
+// its requests crashed crashLimit servers, and one of them after an earlier crash was known. Without
+// such a repeat the crashes may have one common cause: when many servers fail at once, each request
+// that runs on several of them is lost at all of these.
+func Assess(crashes []encoder.Crash) Suspicion {
+	type crash struct {
+		request string
+		server  encoder.ServerID
+	}
+	distinct := map[crash]bool{}
+	hasRepeat := false
+	for _, c := range crashes {
+		distinct[crash{c.Request, c.Server}] = true
+		hasRepeat = hasRepeat || c.IsRepeat
+	}
+	switch {
+	case len(distinct) < crashLimit:
+		return SuspicionNone
+	case hasRepeat:
+		return SuspicionQuarantined
+	default:
+		return SuspicionIsolated
+	}
+}
+
+// AppendCrash appends a crash to the crashes of one fingerprint if Assess may need it. It keeps
+// crashLimit crashes, and one more if it is the first repeat.
+func AppendCrash(crashes []encoder.Crash, c encoder.Crash) []encoder.Crash {
+	isRepeat := func(c encoder.Crash) bool { return c.IsRepeat }
+	if len(crashes) < crashLimit || (c.IsRepeat && !slices.ContainsFunc(crashes, isRepeat)) {
+		return append(crashes, c)
+	}
+	return crashes
+}
+
+// CrashTracker finds requests that crash backend servers from the reports of all docks. A single one
+// of many docks sees too few requests with a fingerprint to detect that they crash servers. It is
+// not safe for concurrent use.
 type CrashTracker struct {
-	entries map[identifier.Fingerprint]*suspect
+	// reports are the latest reports of docks, by the incarnation of the dock's process.
+	reports     map[identifier.Incarnation]crashReport
+	quarantines map[identifier.Fingerprint]quarantine
 }
 
-// suspect is a fingerprint whose requests ran on servers that crashed.
-type suspect struct {
-	// requests holds the requests that ran on crashing servers. A request counts once, however many
-	// servers crashed while running it, because when many servers crash at once, each running
-	// request meets several of them.
-	requests map[string]bool
-	last     time.Time
-	// until is the end of the quarantine, and zero if there was none.
-	until time.Time
+// crashReport is what one dock holds against fingerprints.
+type crashReport struct {
+	at      time.Time
+	crashes []encoder.Crash
+}
+
+// quarantine is the latest quarantine of a fingerprint. It is kept for another duration after its
+// end; until then one crash suffices for the next one.
+type quarantine struct {
+	until    time.Time
+	duration time.Duration
 }
 
 // NewCrashTracker returns a CrashTracker without suspects.
 func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{entries: map[identifier.Fingerprint]*suspect{}}
+	return &CrashTracker{reports: map[identifier.Incarnation]crashReport{}, quarantines: map[identifier.Fingerprint]quarantine{}}
 }
 
 // CrashFinding is a change of what a CrashTracker knows about a fingerprint.
 type CrashFinding struct {
 	Fingerprint identifier.Fingerprint
-	// Crash is the crash that was counted, or nil if the fingerprint was cleared.
+	// Crash is the crash that was counted. It is nil if a dock withdrew its report on the
+	// fingerprint, or if another process quarantined the fingerprint.
 	Crash *encoder.Crash
-	// Count is the number of requests that count against the fingerprint.
+	// Count is the number of crashes that all docks hold against the fingerprint.
 	Count int
-	// IsQuarantined reports whether the fingerprint is quarantined because of the crash.
+	// IsQuarantined reports whether the fingerprint is quarantined.
 	IsQuarantined bool
 }
 
-// Observe adds crashes and returns the changes. Cleared holds the fingerprints of requests that were
-// answered after a crash: they are no longer suspected unless they are or were quarantined.
-func (c *CrashTracker) Observe(now time.Time, crashes []encoder.Crash, cleared []identifier.Fingerprint) []CrashFinding {
+// Report replaces the report of one dock with the crashes that it holds against fingerprints now,
+// and returns the changes. A dock no longer reports a fingerprint after one of its requests has been
+// answered.
+func (c *CrashTracker) Report(now time.Time, dock identifier.Incarnation, crashes []encoder.Crash) []CrashFinding {
+	c.removeExpired(now)
+	before := c.reports[dock].crashes
+	delete(c.reports, dock)
+	if len(crashes) > 0 && len(c.reports) < maxReports {
+		c.reports[dock] = crashReport{at: now, crashes: crashes}
+	}
 	findings := []CrashFinding{}
-	for _, f := range cleared {
-		if e := c.entries[f]; e != nil && e.until.IsZero() {
-			delete(c.entries, f)
-			findings = append(findings, CrashFinding{Fingerprint: f})
+	for _, f := range fingerprints(before) {
+		isReported := func(crash encoder.Crash) bool { return crash.Fingerprint == f }
+		if !slices.ContainsFunc(crashes, isReported) {
+			findings = append(findings, CrashFinding{Fingerprint: f, IsQuarantined: c.isQuarantined(now, f)})
 		}
 	}
 	for _, crash := range crashes {
-		e := c.entry(now, crash.Fingerprint)
-		if e == nil {
-			continue
-		}
-		e.last = now
-		if len(e.requests) < maxRequests {
-			e.requests[crash.Request] = true
-		}
-		if len(e.requests) >= crashLimit {
-			e.until = now.Add(quarantineTime)
+		if !slices.Contains(before, crash) {
+			findings = append(findings, c.assess(now, crash))
 		}
-		findings = append(findings, CrashFinding{
-			Fingerprint: crash.Fingerprint, Crash: &crash, Count: len(e.requests), IsQuarantined: now.Before(e.until),
-		})
 	}
 	return findings
 }
 
-// entry returns the entry of a fingerprint and creates it if necessary. It returns nil if
-// maxFingerprints are tracked and none has expired.
-func (c *CrashTracker) entry(now time.Time, f identifier.Fingerprint) *suspect {
-	e := c.entries[f]
-	if e != nil {
-		return e
+// assess quarantines the fingerprint of a newly reported crash if the reports of all docks suffice.
+func (c *CrashTracker) assess(now time.Time, crash encoder.Crash) CrashFinding {
+	f := crash.Fingerprint
+	all := c.crashes(f)
+	last, wasQuarantined := c.quarantines[f]
+	switch {
+	case c.isQuarantined(now, f):
+	case wasQuarantined:
+		c.quarantine(f, now, min(2*last.duration, maxQuarantineTime))
+	case Assess(all) == SuspicionQuarantined:
+		c.quarantine(f, now, QuarantineTime)
 	}
-	for other, o := range c.entries {
-		if now.Sub(o.last) > crashWindow && !now.Before(o.until) {
-			delete(c.entries, other)
+	return CrashFinding{Fingerprint: f, Crash: &crash, Count: len(all), IsQuarantined: c.isQuarantined(now, f)}
+}
+
+// Adopt adds quarantines that another process decided on, and returns those that are new.
+func (c *CrashTracker) Adopt(now time.Time, list []encoder.Quarantine) []CrashFinding {
+	findings := []CrashFinding{}
+	for _, q := range list {
+		if q.Remaining <= 0 || c.isQuarantined(now, q.Fingerprint) {
+			continue
 		}
+		// The duration is not known, so the quarantine counts as a first one.
+		c.quarantine(q.Fingerprint, now.Add(q.Remaining-QuarantineTime), QuarantineTime)
+		findings = append(findings, CrashFinding{Fingerprint: q.Fingerprint, IsQuarantined: true})
 	}
-	if len(c.entries) >= maxFingerprints {
-		return nil
-	}
-	e = &suspect{requests: map[string]bool{}}
-	c.entries[f] = e
-	return e
+	return findings
 }
 
-// Quarantined returns the quarantined fingerprints, in ascending order.
-func (c *CrashTracker) Quarantined(now time.Time) []encoder.Quarantine {
-	list := []encoder.Quarantine{}
-	for f, e := range c.entries {
-		if now.Before(e.until) {
-			list = append(list, encoder.Quarantine{Fingerprint: f, Remaining: e.until.Sub(now)})
+// Quarantines returns the quarantined fingerprints, and with a remaining time of zero those that
+// must run isolated, in ascending order.
+func (c *CrashTracker) Quarantines(now time.Time) []encoder.Quarantine {
+	c.removeExpired(now)
+	remaining := map[identifier.Fingerprint]time.Duration{}
+	for _, r := range c.reports {
+		for _, f := range fingerprints(r.crashes) {
+			if Assess(c.crashes(f)) != SuspicionNone {
+				remaining[f] = 0
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b encoder.Quarantine) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	for f, q := range c.quarantines {
+		remaining[f] = max(0, q.until.Sub(now))
+	}
+	list := []encoder.Quarantine{}
+	for _, f := range slices.Sorted(maps.Keys(remaining)) {
+		list = append(list, encoder.Quarantine{Fingerprint: f, Remaining: remaining[f]})
+	}
 	return list
 }
+
+// isQuarantined reports whether requests with a fingerprint must not run.
+func (c *CrashTracker) isQuarantined(now time.Time, f identifier.Fingerprint) bool {
+	return now.Before(c.quarantines[f].until)
+}
+
+// quarantine adds a quarantine. If maxQuarantines are known, it drops the one that ends first.
+func (c *CrashTracker) quarantine(f identifier.Fingerprint, start time.Time, duration time.Duration) {
+	if _, isKnown := c.quarantines[f]; !isKnown && len(c.quarantines) >= maxQuarantines {
+		endsFirst := slices.MinFunc(slices.Collect(maps.Keys(c.quarantines)), func(a, b identifier.Fingerprint) int {
+			return c.quarantines[a].until.Compare(c.quarantines[b].until)
+		})
+		delete(c.quarantines, endsFirst)
+	}
+	c.quarantines[f] = quarantine{until: start.Add(duration), duration: duration}
+}
+
+// crashes returns the crashes that all docks hold against a fingerprint.
+func (c *CrashTracker) crashes(f identifier.Fingerprint) []encoder.Crash {
+	all := []encoder.Crash{}
+	for _, r := range c.reports {
+		for _, crash := range r.crashes {
+			if crash.Fingerprint == f {
+				all = append(all, crash)
+			}
+		}
+	}
+	return all
+}
+
+// removeExpired removes reports older than CrashWindow, and quarantines that ended longer ago than
+// they lasted.
+func (c *CrashTracker) removeExpired(now time.Time) {
+	maps.DeleteFunc(c.reports, func(_ identifier.Incarnation, r crashReport) bool { return now.Sub(r.at) > CrashWindow })
+	maps.DeleteFunc(c.quarantines, func(_ identifier.Fingerprint, q quarantine) bool { return now.Sub(q.until) > q.duration })
+}
+
+// fingerprints returns the distinct fingerprints of crashes, in ascending order.
+func fingerprints(crashes []encoder.Crash) []identifier.Fingerprint {
+	list := []identifier.Fingerprint{}
+	for _, crash := range crashes {
+		list = append(list, crash.Fingerprint)
+	}
+	slices.SortFunc(list, cmp.Compare[identifier.Fingerprint])
+	return slices.Compact(list)
+}
--- a/internal/locator/crashtracker_test.go
+++ b/internal/locator/crashtracker_test.go
@@ -12,46 +12,113 @@
 	"banyandock.example/banyandock/internal/locator"
 )
 
-// crashOf returns the crash of one server during a request.
-func crashOf(f identifier.Fingerprint, request int) []encoder.Crash {
-	return []encoder.Crash{{Fingerprint: f, Request: fmt.Sprint(request)}}
+// suspect is the fingerprint of the tests' requests.
+const suspect identifier.Fingerprint = 7
+
+// crashesOf returns crashes of as many servers during one request. The last ones are repeats.
+func crashesOf(request string, servers, repeats int) []encoder.Crash {
+	crashes := []encoder.Crash{}
+	for i := range servers {
+		crashes = append(crashes, encoder.Crash{
+			Fingerprint: suspect, Request: request, Server: encoder.ServerID(fmt.Sprint(request, i)), IsRepeat: i >= servers-repeats,
+		})
+	}
+	return crashes
+}
+
+// expectQuarantine checks that the suspect is the only fingerprint on the list, and how long it is
+// quarantined.
+func expectQuarantine(t *testing.T, c *locator.CrashTracker, now time.Time, remaining time.Duration) {
+	t.Helper()
+	list := c.Quarantines(now)
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0], encoder.Quarantine{Fingerprint: suspect, Remaining: remaining})
+}
+
+// TestOneRequestCrashesServersOfAllShards guards against counting requests instead of servers.
+func TestOneRequestCrashesServersOfAllShards(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	c.Report(now, 1, crashesOf("a", 4, 1))
+	expectQuarantine(t, c, now, locator.QuarantineTime)
+}
+
+func TestCrashesReportedByDifferentDocksAddUp(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	c.Report(now, 1, crashesOf("a", 2, 1))
+	assert.Equal(t, len(c.Quarantines(now)), 0)
+	c.Report(now, 1, crashesOf("a", 2, 1))
+	assert.Equal(t, len(c.Quarantines(now)), 0, "a repeated report adds nothing")
+	findings := c.Report(now, 2, crashesOf("b", 1, 0))
+	assert.Equal(t, len(findings), 1)
+	assert.Equal(t, findings[0].Count, 3)
+	assert.Assert(t, findings[0].IsQuarantined)
+	expectQuarantine(t, c, now, locator.QuarantineTime)
 }
 
-func TestThirdRequestThatCrashesServersIsQuarantined(t *testing.T) {
+// TestServersThatCrashTogetherIncriminateNoRequest replays the loss of many servers at once, on which
+// harmless requests were running.
+func TestServersThatCrashTogetherIncriminateNoRequest(t *testing.T) {
 	c := locator.NewCrashTracker()
 	now := time.Unix(100, 0)
-	for i := range 2 {
-		c.Observe(now, crashOf(7, i), nil)
-		c.Observe(now, crashOf(7, i), nil)
+	for dock := range 5 {
+		c.Report(now, identifier.Incarnation(dock), crashesOf(fmt.Sprint("r", dock), 10, 0))
 	}
-	assert.Equal(t, len(c.Quarantined(now)), 0, "a request that crashed several servers counts once")
-	c.Observe(now, crashOf(7, 2), nil)
-	list := c.Quarantined(now.Add(time.Minute))
-	assert.Equal(t, len(list), 1)
-	assert.Equal(t, list[0].Fingerprint, identifier.Fingerprint(7))
-	assert.Equal(t, list[0].Remaining, 9*time.Minute)
-	assert.Equal(t, len(c.Quarantined(now.Add(10*time.Minute))), 0)
+	expectQuarantine(t, c, now, 0)
 }
 
 func TestAnsweredRequestIsNotSuspected(t *testing.T) {
 	c := locator.NewCrashTracker()
 	now := time.Unix(100, 0)
-	c.Observe(now, crashOf(7, 0), nil)
-	c.Observe(now, crashOf(7, 1), nil)
-	c.Observe(now, nil, []identifier.Fingerprint{7})
-	c.Observe(now, crashOf(7, 2), nil)
-	assert.Equal(t, len(c.Quarantined(now)), 0)
+	c.Report(now, 1, crashesOf("a", 2, 1))
+	c.Report(now, 1, nil)
+	c.Report(now, 2, crashesOf("b", 2, 1))
+	assert.Equal(t, len(c.Quarantines(now)), 0)
+}
+
+func TestOldReportsExpire(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	c.Report(now, 1, crashesOf("a", 2, 1))
+	later := now.Add(locator.CrashWindow + time.Second)
+	c.Report(later, 2, crashesOf("b", 1, 0))
+	assert.Equal(t, len(c.Quarantines(later)), 0)
+}
+
+func TestRequestIsQuarantinedAgainAfterOneCrash(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	c.Report(now, 1, crashesOf("a", 3, 1))
+	c.Report(now, 1, nil)
+	expectQuarantine(t, c, now, locator.QuarantineTime)
+	later := now.Add(locator.QuarantineTime + time.Second)
+	expectQuarantine(t, c, later, 0)
+	c.Report(later, 1, crashesOf("b", 1, 0))
+	expectQuarantine(t, c, later, 2*locator.QuarantineTime)
+}
+
+func TestAdoptedQuarantineIsKept(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	list := []encoder.Quarantine{{Fingerprint: 7, Remaining: time.Minute}, {Fingerprint: 8}}
+	assert.Equal(t, len(c.Adopt(now, list)), 1)
+	assert.Equal(t, len(c.Adopt(now, list)), 0, "nothing is new")
+	expectQuarantine(t, c, now, time.Minute)
 }
 
-func TestTrackedFingerprintsAreBounded(t *testing.T) {
+func TestTrackedCrashesAreBounded(t *testing.T) {
 	c := locator.NewCrashTracker()
 	now := time.Unix(100, 0)
 	for i := range 10_000 {
-		c.Observe(now, crashOf(identifier.Fingerprint(i), i), nil)
+		f := identifier.Fingerprint(i + 1)
+		c.Adopt(now, []encoder.Quarantine{{Fingerprint: f, Remaining: time.Minute + time.Duration(i)}})
 	}
-	later := now.Add(time.Hour)
-	for i := range 3 {
-		c.Observe(later, crashOf(20_000, i), nil)
+	assert.Assert(t, len(c.Quarantines(now)) <= 4096)
+	crashes := []encoder.Crash{}
+	for _, crash := range crashesOf("a", 50, 20) {
+		crashes = locator.AppendCrash(crashes, crash)
 	}
-	assert.Equal(t, len(c.Quarantined(later)), 1, "expired fingerprints are evicted")
+	assert.Equal(t, len(crashes), 4)
+	assert.Equal(t, locator.Assess(crashes), locator.SuspicionQuarantined)
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -61,6 +61,9 @@
 	// EventSuspicionCleared that a request with the fingerprint was answered since.
 	EventCrashCounted     = "crash counted"
 	EventSuspicionCleared = "suspicion cleared"
+	// EventQuarantineAdopted reports that a keeper learnt of a quarantine that another process
+	// decided on.
+	EventQuarantineAdopted = "quarantine adopted"
 	// EventBatch reports shards whose results this dock did not gather in time for another dock.
 	EventBatch = "batch"
 	// EventOwners reports the number of services to which this dock sends on behalf of other docks.
@@ -115,6 +118,9 @@
 	FieldTrouble = "trouble"
 	// FieldFellows is the number of docks in this dock's failure domain.
 	FieldFellows = "fellows"
+	// FieldRepeat reports whether the request was sent although an equal one was known to have
+	// crashed a server.
+	FieldRepeat = "repeat"
 	// FieldFingerprint is equal for requests that servers cannot distinguish from each other.
 	FieldFingerprint = "fingerprint"
 	// FieldCause is the reason for an attempt: first, hedge or retry.
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -184,6 +184,10 @@
 		k.broadcaster.Observe(n)
 		return struct{}{}, nil
 	})
+	linker.Handle(mux, encoder.KindCrashReport, func(_ context.Context, peer linker.Peer, r encoder.CrashReport) (encoder.CrashReportReply, error) {
+		k.broadcaster.ReportCrashes(peer.Incarnation, r)
+		return encoder.CrashReportReply{}, nil
+	})
 	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
 		k.broadcaster.MergeDeparture(r)
 		return encoder.DepartReply{}, nil
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -30,6 +30,12 @@
 	isMember  bool
 	docks     int
 	domains   int
+	// quarantinesDigest identifies the keeper's list of quarantines in its last reply.
+	quarantinesDigest uint64
+	// reportedVersion is the version of the crash report that the keeper acknowledged last.
+	// isReporting is set while a report is being sent.
+	reportedVersion uint64
+	isReporting     bool
 }
 
 // run watches the keeper until it is no longer a member.
@@ -63,7 +69,7 @@
 		Dock:           w.self,
 		FellowsDigest:  w.domainDocksDigest,
 
-		QuarantinesDigest: w.quarantinesDigest,
+		QuarantinesDigest: k.quarantinesDigest,
 
 		Wait: watchWait,
 	}
@@ -83,6 +89,7 @@
 		w.log.Warn().Err(err).Stringer(recorder.FieldKeeper, k.address).Msg(recorder.EventKeeperLost)
 	}
 	k.lastReply = time.Time{}
+	k.quarantinesDigest = 0
 	w.catalog.Disconnect(w.clock.Now(), k.address)
 }
 
--- a/internal/watcher/observer.go
+++ b/internal/watcher/observer.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 
-	"github.com/rotisserie/eris"
-
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/linker"
-	"banyandock.example/banyandock/internal/recorder"
 )
 
-// errNoLeader is logged for reports that no keeper can receive.
-var errNoLeader = eris.New("no leading keeper is known")
-
-// observer sends this dock's observations of the servers to the leader.
+// observer sends this dock's observations of the servers to the leader, and its crash reports to all
+// keepers.
 type observer struct {
 	*Watcher
 }
@@ -44,6 +39,7 @@
 			return
 		case <-timer.C:
 			o.sendObservations()
+			o.reportCrashes()
 		}
 	}
 }
@@ -51,29 +47,14 @@
 // sendObservations sends what was observed since the last call. A notice that is lost is not sent
 // again, because newer observations follow.
 func (o *observer) sendObservations() {
-	notice := o.sink.TakeObservations()
+	observations := o.sink.TakeObservations()
 	o.mutex.Lock()
 	leader := o.leader
 	o.mutex.Unlock()
-	if notice.IsEmpty() {
-		return
-	}
-	if !leader.IsValid() {
-		o.logLostReports(notice, errNoLeader)
+	if len(observations) == 0 || !leader.IsValid() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, observeDelay)
 	defer cancel()
-	if err := linker.Send(ctx, o.pool.Link(leader), encoder.KindObserve, notice); err != nil {
-		o.logLostReports(notice, err)
-	}
-}
-
-// logLostReports logs that reports on crashes were not delivered. Other observations are not logged,
-// because newer ones replace them.
-func (o *observer) logLostReports(notice encoder.ObserveNotice, err error) {
-	if len(notice.Crashes)+len(notice.Innocent) == 0 {
-		return
-	}
-	o.log.Warn().Err(err).Int(recorder.FieldCount, len(notice.Crashes)).Msg(recorder.EventCrashReportLost)
+	_ = linker.Send(ctx, o.pool.Link(leader), encoder.KindObserve, encoder.ObserveNotice{Observations: observations})
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -56,8 +56,11 @@
 	// dock itself.
 	SetDomainDocks(domainDocks []encoder.Dock)
 	// TakeObservations returns what was observed of the servers since the last call.
-	TakeObservations() encoder.ObserveNotice
-	// SetQuarantines replaces the list of requests that must not run.
+	TakeObservations() []encoder.Observation
+	// CrashReport returns what the dock holds against requests, and a version that changes with it.
+	// The version is zero as long as there was nothing to report.
+	CrashReport() (encoder.CrashReport, uint64)
+	// SetQuarantines adds a keeper's list of requests that must not run, or must run isolated.
 	SetQuarantines(quarantines []encoder.Quarantine)
 	// SetSlowServers replaces the list of servers that most docks observe as slow.
 	SetSlowServers(slowServers []encoder.SlowServer)
@@ -91,11 +94,9 @@
 	catalog       *locator.Catalog
 	configuration uint64
 	membersDigest uint64
-	// slowServersDigest, domainDocksDigest, quarantinesDigest and leader come from the latest
-	// reply of a leader.
+	// slowServersDigest, domainDocksDigest and leader come from the latest reply of a leader.
 	slowServersDigest uint64
 	domainDocksDigest uint64
-	quarantinesDigest uint64
 	leader            netip.AddrPort
 	voters            int
 	// lastPublish is when the servers were last computed. isPublishScheduled is set while another
@@ -203,6 +204,7 @@
 				w.publish()
 			}
 			w.mutex.Unlock()
+			w.reportCrashes()
 		}
 	}
 }
@@ -293,8 +295,8 @@
 		w.slowServersDigest = reply.VerdictsDigest
 		w.sink.SetSlowServers(reply.Verdicts)
 	}
-	if reply.IsLeader && reply.QuarantinesDigest != w.quarantinesDigest {
-		w.quarantinesDigest = reply.QuarantinesDigest
+	if reply.IsLeader && reply.QuarantinesDigest != k.quarantinesDigest {
+		k.quarantinesDigest = reply.QuarantinesDigest
 		w.sink.SetQuarantines(reply.Quarantines)
 	}
 	if reply.IsLeader && reply.FellowsDigest != w.domainDocksDigest {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -53,6 +53,10 @@
 		k.fetches++
 		return encoder.ManifestText{Number: k.number, Text: fmt.Append(nil, k.number)}, nil
 	})
+	linker.Handle(mux, encoder.KindCrashReport, func(_ context.Context, peer linker.Peer, r encoder.CrashReport) (encoder.CrashReportReply, error) {
+		k.broadcaster.ReportCrashes(peer.Incarnation, r)
+		return encoder.CrashReportReply{}, nil
+	})
 	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
 		k.broadcaster.Observe(n)
 		return struct{}{}, nil
@@ -109,6 +113,10 @@
 	// observations are what TakeObservations returns next.
 	observations []encoder.Observation
 	slowServers  []encoder.SlowServer
+	// report is the dock's crash report, with its version.
+	report        encoder.CrashReport
+	reportVersion uint64
+	quarantines   map[identifier.Fingerprint]bool
 }
 
 func (d *dock) Configure(table *matcher.Table) {
@@ -131,14 +139,47 @@
 	d.docks = n
 }
 
-func (d *dock) SetQuarantines([]encoder.Quarantine) {}
+func (d *dock) SetQuarantines(list []encoder.Quarantine) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, q := range list {
+		if q.Remaining > 0 {
+			d.quarantines[q.Fingerprint] = true
+		}
+	}
+}
+
+func (d *dock) CrashReport() (encoder.CrashReport, uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.report, d.reportVersion
+}
+
+// reportCrashes makes the dock report the crashes of servers by one request. The last is a repeat.
+func (d *dock) reportCrashes(request string, servers int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for i := range servers {
+		d.report.Crashes = append(d.report.Crashes, encoder.Crash{
+			Fingerprint: 9, Request: request, Server: encoder.ServerID(fmt.Sprint(i)), IsRepeat: i == servers-1,
+		})
+	}
+	d.reportVersion++
+	d.watcher.ScheduleObservations()
+}
+
+// waitForQuarantine waits until the dock knows that the requests of reportCrashes must not run.
+func (d *dock) waitForQuarantine() {
+	d.t.Helper()
+	d.wait("the quarantine", func() bool { return d.quarantines[9] })
+}
 
-func (d *dock) TakeObservations() encoder.ObserveNotice {
+func (d *dock) TakeObservations() []encoder.Observation {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	observations := d.observations
 	d.observations = nil
-	return encoder.ObserveNotice{Observations: observations}
+	return observations
 }
 
 func (d *dock) SetSlowServers(slowServers []encoder.SlowServer) {
@@ -157,7 +198,8 @@
 }
 
 func startDock(t *testing.T, seeds ...*keeper) *dock {
-	d := &dock{t: t, pool: linker.NewPool(linker.Self{Host: "dock", Incarnation: 7}, timekeeper.System{})}
+	self := linker.Self{Host: "dock", Incarnation: identifier.NewIncarnation()}
+	d := &dock{t: t, pool: linker.NewPool(self, timekeeper.System{}), quarantines: map[identifier.Fingerprint]bool{}}
 	addresses := []netip.AddrPort{}
 	for _, k := range seeds {
 		addresses = append(addresses, k.server.Address())
