Crash reports reach every keeper and are repeated until acknowledged

What servers saw: a request that was about to be quarantined was sent on after a change of the leading keeper, and its crashes were counted from one again.

Cause: a dock sent each report once, to the leader known at that moment, with the observations of latencies, whose loss does not matter because newer ones follow; a crash is not followed by a newer one. Only the leader counted and published, in memory, so a new leader knew nothing.

Change: a dock sends its report to every keeper that it watches, again each second and after a keeper's restart until that process has acknowledged it, and adopts the quarantines of every keeper, not only of the leader.

--- a/internal/watcher/crashreporter.go
+++ b/internal/watcher/crashreporter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/recorder"
 )
@@ -15,11 +16,14 @@
 // crashReporter sends one crash report to one keeper.
 type crashReporter struct {
 	keeper  *keeper
+	process identifier.Incarnation
 	version uint64
 	report  encoder.CrashReport
 }
 
-// reportCrashes sends the sink's crash report to the leading keeper.
+// reportCrashes sends the sink's crash report to each connected keeper whose process has not
+// acknowledged it. A report that is lost is sent again at the next call. Every keeper gets it, so
+// that what it says outlives each of them.
 func (w *Watcher) reportCrashes() {
 	report, version := w.sink.CrashReport()
 	if version == 0 {
@@ -28,13 +32,13 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, k := range w.keepers {
-		isKnown := k.reportedVersion == version
-		if k.address != w.leader || isKnown || k.isReporting || k.lastReply.IsZero() || w.ctx.Err() != nil {
+		isKnown := k.reportedVersion == version && k.reportedTo == k.incarnation
+		if isKnown || k.isReporting || k.lastReply.IsZero() || w.ctx.Err() != nil {
 			continue
 		}
 		k.isReporting = true
 		w.tasks.Add(1)
-		go (&crashReporter{keeper: k, version: version, report: report}).run()
+		go (&crashReporter{keeper: k, process: k.incarnation, version: version, report: report}).run()
 	}
 }
 
@@ -54,5 +58,5 @@
 			Msg(recorder.EventCrashReportLost)
 		return
 	}
-	k.reportedVersion = c.version
+	k.reportedVersion, k.reportedTo = c.version, c.process
 }
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -32,9 +32,10 @@
 	domains   int
 	// quarantinesDigest identifies the keeper's list of quarantines in its last reply.
 	quarantinesDigest uint64
-	// reportedVersion is the version of the crash report that the keeper acknowledged last.
-	// isReporting is set while a report is being sent.
+	// reportedVersion is the version of the crash report that the process reportedTo of the keeper
+	// acknowledged last. isReporting is set while a report is being sent.
 	reportedVersion uint64
+	reportedTo      identifier.Incarnation
 	isReporting     bool
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -295,7 +295,7 @@
 		w.slowServersDigest = reply.VerdictsDigest
 		w.sink.SetSlowServers(reply.Verdicts)
 	}
-	if reply.IsLeader && reply.QuarantinesDigest != k.quarantinesDigest {
+	if reply.QuarantinesDigest != k.quarantinesDigest {
 		k.quarantinesDigest = reply.QuarantinesDigest
 		w.sink.SetQuarantines(reply.Quarantines)
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -349,3 +349,43 @@
 	three.wait("a slow server", func() bool { return len(three.slowServers) == 1 && three.slowServers[0].Ratio == 8 })
 	three.wait("the recovery of the slow server", func() bool { return len(three.slowServers) == 0 })
 }
+
+// TestCrashReportsAreLostWithTheLeader guards against reports that only the leader has.
+func TestCrashReportsAreLostWithTheLeader(t *testing.T) {
+	leader, other := startKeeper(t, anyPort, 1, t.TempDir()), startKeeper(t, anyPort, 2, t.TempDir())
+	defer other.close()
+	other.mutex.Lock()
+	other.isLeader = false
+	other.mutex.Unlock()
+	leader.setMembers(leader, other)
+	other.setMembers(leader, other)
+	one, two := startDock(t, leader), startDock(t, leader)
+	defer one.close()
+	defer two.close()
+	for _, d := range []*dock{one, two} {
+		d.wait("both keepers", func() bool { return d.watcher.IsFresh() })
+	}
+	one.reportCrashes("a", 2)
+	time.Sleep(500 * time.Millisecond)
+	leader.close()
+	two.reportCrashes("b", 1)
+	one.waitForQuarantine()
+	two.waitForQuarantine()
+}
+
+// TestCrashReportsAreLostWhenAKeeperRestarts guards against reports that are sent only once.
+func TestCrashReportsAreLostWhenAKeeperRestarts(t *testing.T) {
+	k := startKeeper(t, anyPort, 1, t.TempDir())
+	address := k.server.Address().String()
+	one, two := startDock(t, k), startDock(t, k)
+	defer one.close()
+	defer two.close()
+	one.reportCrashes("a", 2)
+	time.Sleep(500 * time.Millisecond)
+	k.close()
+	k = startKeeper(t, address, 2, t.TempDir())
+	defer k.close()
+	two.reportCrashes("b", 1)
+	one.waitForQuarantine()
+	two.waitForQuarantine()
+}
