Keepers save quarantines, so that a restart of all hosts keeps them

What servers saw: after all hosts had been killed or had lost power, a request that had been quarantined crashed servers again, three or more.

Cause: quarantines were in the memory of keepers and docks only. Each of them could be lost, and what is lost on all hosts at once was gone.

Change: each keeper saves its quarantines in a file of its data folder when they change, as it does the directory, and adopts them when it starts. DirectoryFile becomes the generic File, with the same content on disk.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -55,10 +55,12 @@
 	self        identifier.Incarnation
 	clock       timekeeper.Clock
 	keeperState func() KeeperState
-	file        *DirectoryFile
+	files       Files
 	log         zerolog.Logger
 	stop        chan struct{}
-	tasks       sync.WaitGroup
+	// quarantinesChanged wakes the saver.
+	quarantinesChanged chan struct{}
+	tasks              sync.WaitGroup
 
 	// Guarded by mutex.
 	mutex           sync.Mutex
@@ -78,20 +80,25 @@
 	base    uint64
 	docks   *dockSet
 	wakeups wakeChannels
-	// savedChange is the number of the last change that was saved to the file.
-	savedChange uint64
+	// savedChange is the number of the last change of the directory that was saved, and
+	// savedQuarantines is the digest of the quarantines that were saved last.
+	savedChange      uint64
+	savedQuarantines uint64
 }
 
-// New starts a Broadcaster with the directory that was saved in the file. Silence is how long a
+// New starts a Broadcaster with the directory and the quarantines that were saved in the files. Silence is how long a
 // server may go without a heartbeat.
-func New(self identifier.Incarnation, silence time.Duration, keeperState func() KeeperState, file *DirectoryFile, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
+func New(self identifier.Incarnation, silence time.Duration, keeperState func() KeeperState, files Files, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
 	b := &Broadcaster{
-		self:            self,
-		clock:           clock,
-		keeperState:     keeperState,
-		file:            file,
-		log:             log,
-		stop:            make(chan struct{}),
+		self:        self,
+		clock:       clock,
+		keeperState: keeperState,
+		files:       files,
+		log:         log,
+		stop:        make(chan struct{}),
+
+		quarantinesChanged: make(chan struct{}, 1),
+
 		directory:       locator.NewDirectory(silence),
 		outlierDetector: locator.NewOutlierDetector(),
 		crashTracker:    locator.NewCrashTracker(),
@@ -108,20 +115,30 @@
 // restore loads the directory and the quarantines that an earlier process saved.
 func (b *Broadcaster) restore() {
 	now := b.clock.Now()
-	saved, err := b.file.Load()
+	saved, err := b.files.Directory.Load()
 	if err != nil {
 		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnread)
 	} else {
 		b.directory.Restore(now, saved)
 	}
+	quarantines, err := b.files.Quarantines.Load()
+	if err != nil {
+		b.log.Warn().Err(err).Msg(recorder.EventQuarantinesUnread)
+		return
+	}
+	for _, f := range b.crashTracker.Adopt(now, quarantines) {
+		b.logFinding(f)
+	}
+	b.updateQuarantines(now)
+	b.savedQuarantines = b.quarantinesDigest
 }
 
-// saver saves the directory at intervals.
+// saver saves the directory at intervals, and the quarantines at once when they change.
 type saver struct {
 	*Broadcaster
 }
 
-// loop saves the directory at every tick if it has changed.
+// loop saves what has changed.
 func (s *saver) loop() {
 	defer s.tasks.Done()
 	ticker := s.clock.NewTicker(saveInterval)
@@ -130,12 +147,34 @@
 		select {
 		case <-s.stop:
 			return
+		case <-s.quarantinesChanged:
+			s.saveQuarantines()
 		case <-ticker.C:
 			s.Save()
+			s.saveQuarantines()
 		}
 	}
 }
 
+// saveQuarantines writes the quarantines to their file if they have changed. After a failure, the
+// next tick tries again.
+func (b *Broadcaster) saveQuarantines() {
+	b.mutex.Lock()
+	digest, quarantines := b.quarantinesDigest, b.quarantines
+	isSaved := digest == b.savedQuarantines
+	b.mutex.Unlock()
+	if isSaved {
+		return
+	}
+	if err := b.files.Quarantines.Save(quarantines); err != nil {
+		b.log.Warn().Err(err).Msg(recorder.EventQuarantinesUnsaved)
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.savedQuarantines = digest
+}
+
 // Save writes the directory to its file if it has changed. A failure is logged and matters only if
 // the keeper restarts before a later save succeeds.
 func (b *Broadcaster) Save() {
@@ -147,7 +186,7 @@
 	}
 	all := b.directory.All(b.clock.Now())
 	b.mutex.Unlock()
-	if err := b.file.Save(all); err != nil {
+	if err := b.files.Directory.Save(all); err != nil {
 		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnsaved)
 		return
 	}
@@ -225,6 +264,10 @@
 	}
 	b.quarantines, b.quarantinesDigest = quarantines, digest
 	b.wakeAllWatches()
+	select {
+	case b.quarantinesChanged <- struct{}{}:
+	default:
+	}
 }
 
 // logFinding logs that a crash was counted for a fingerprint, that a dock withdrew its crashes, or
--- a/internal/broadcaster/directoryfile_test.go
+++ b/internal/broadcaster/file_test.go
@@ -13,7 +13,7 @@
 
 func TestDirectoryFileRejectsTornFiles(t *testing.T) {
 	folder := t.TempDir()
-	s := broadcaster.NewDirectoryFile(folder)
+	s := broadcaster.NewFiles(folder).Directory
 	servers, err := s.Load()
 	assert.NilError(t, err)
 	assert.Equal(t, len(servers), 0)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -62,8 +62,12 @@
 	EventCrashCounted     = "crash counted"
 	EventSuspicionCleared = "suspicion cleared"
 	// EventQuarantineAdopted reports that a keeper learnt of a quarantine that another process
-	// decided on.
+	// decided on, or that it had saved itself.
 	EventQuarantineAdopted = "quarantine adopted"
+	// EventQuarantinesUnread and EventQuarantinesUnsaved report that a keeper could not read or save
+	// its quarantines.
+	EventQuarantinesUnread  = "quarantines not read"
+	EventQuarantinesUnsaved = "quarantines not saved"
 	// EventBatch reports shards whose results this dock did not gather in time for another dock.
 	EventBatch = "batch"
 	// EventOwners reports the number of services to which this dock sends on behalf of other docks.
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	k := &keeper{t: t, isLeader: true}
 	clock := timekeeper.System{}
-	k.broadcaster = broadcaster.New(incarnation, 4*time.Second, k.state, broadcaster.NewDirectoryFile(folder), clock, zerolog.Nop())
+	k.broadcaster = broadcaster.New(incarnation, 4*time.Second, k.state, broadcaster.NewFiles(folder), clock, zerolog.Nop())
 	mux := linker.NewMux()
 	linker.Handle(mux, encoder.KindWatch, func(ctx context.Context, peer linker.Peer, q encoder.WatchRequest) (encoder.WatchReply, error) {
 		return k.broadcaster.Watch(ctx, peer.Host, q), nil
@@ -389,3 +389,20 @@
 	one.waitForQuarantine()
 	two.waitForQuarantine()
 }
+
+// TestQuarantineIsLostWhenAllProcessesRestart guards against quarantines that no disk holds.
+func TestQuarantineIsLostWhenAllProcessesRestart(t *testing.T) {
+	folder := t.TempDir()
+	k := startKeeper(t, anyPort, 1, folder)
+	address := k.server.Address().String()
+	one := startDock(t, k)
+	one.reportCrashes("a", 3)
+	one.waitForQuarantine()
+	one.close()
+	k.close()
+	k = startKeeper(t, address, 2, folder)
+	defer k.close()
+	two := startDock(t, k)
+	defer two.close()
+	two.waitForQuarantine()
+}
