The soak sends requests that crash servers while it disturbs the deployment

Two such requests, to all shards and to a service of ten servers, come again twice a second throughout the soak. Once they have crashed three servers, they may reach at most three more later than the stability window after the faults have ended. Their random numbers are separate, so that a seed disturbs the deployment as before, except that the ten servers are among those that faults pick from.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,11 +20,13 @@
 
 // Sizes of a deployment. There are enough shards and docks for docks to own shards.
 const (
-	keeperCount    = 5
-	dockCount      = 8
-	shardCount     = 40
-	replicaCount   = 2
-	toleratedHosts = 2
+	keeperCount  = 5
+	dockCount    = 8
+	shardCount   = 40
+	replicaCount = 2
+	// crashServerCount is greater than the number of servers that a request may crash.
+	crashServerCount = 10
+	toleratedHosts   = 2
 )
 
 // Ports of all hosts.
@@ -52,6 +55,8 @@
 const (
 	serviceSingle = "single"
 	serviceOnce   = "once"
+	// serviceCrash runs requests that crash its servers.
+	serviceCrash = "crash"
 )
 
 // crashPath is the start of the paths of requests that crash backend servers.
@@ -100,6 +105,9 @@
 		d.addBackend(serviceSingle)
 		d.addBackend(serviceOnce)
 	}
+	for range crashServerCount {
+		d.addBackend(serviceCrash)
+	}
 	return d, nil
 }
 
@@ -258,11 +266,17 @@
 		{Prefix: "/single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceSingle},
 		{Prefix: "/once/", NonIdempotent: true, Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceOnce},
 		{Prefix: crashPath + "-all/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Shards: shards, RowLimit: 5, Coverage: 0.9},
-		{Prefix: crashPath + "-single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceSingle},
+		{Prefix: crashPath + "-single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceCrash},
 		{Prefix: fmt.Sprintf("/version-%d/", version), Timeout: 2 * time.Second, Service: serviceSingle},
 	}
 }
 
+// routeOf returns the route of a path in all configuration versions.
+func routeOf(path string) standin.Route {
+	all := routes(0)
+	return all[slices.IndexFunc(all, func(r standin.Route) bool { return strings.HasPrefix(path, r.Prefix) })]
+}
+
 // submit submits a configuration with a new version to random keepers until one accepts it or the
 // context ends. Retries after an unknown outcome send the same text.
 func (d *deployment) submit(ctx context.Context, random *rand.Rand) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,9 @@
 	recoveryTimeout = 12 * time.Second
 	// steadyTime is how long the share of served requests is measured after the recovery.
 	steadyTime = 2 * time.Second
+	// soakCrashDivisor is how often requests that crash servers are sent while a crashed server is
+	// down.
+	soakCrashDivisor = 10
 	// minimumServedShare is the share of requests that must succeed after the recovery.
 	minimumServedShare = 0.9
 )
@@ -137,6 +140,12 @@
 		own := rand.New(rand.NewPCG(s.seed, uint64(i+1)))
 		callers.Go(func() { (&caller{deployment: d, random: own, number: i, served: &s.served, sent: &s.sent}).run(ctx) })
 	}
+	crashers := []*crasher{}
+	for i, path := range []string{crashPath + "-all/x", crashPath + "-single/x"} {
+		c := &crasher{deployment: d, random: rand.New(rand.NewPCG(s.seed, uint64(callerCount+i+1))), path: path}
+		crashers = append(crashers, c)
+		callers.Go(func() { c.send(ctx, time.Minute, longCrashPause/soakCrashDivisor) })
+	}
 	faultInjector := &faultInjector{deployment: d, log: s.log, down: map[int]bool{}, busy: map[int]bool{}}
 	faultInjector.run(ctx, random, *faultTime)
 	s.log("all faults have ended")
@@ -146,6 +155,7 @@
 	s.expectSteadyService(ctx)
 	cancel()
 	callers.Wait()
+	s.checkCrashes(crashers, faultsEnded)
 	for host, p := range d.processes {
 		d.history.expect(!p.hasExitedUnexpectedly(), "host %d exited unexpectedly", host)
 	}
@@ -156,6 +166,18 @@
 	assert.Equal(s.t, d.history.violationCount, 0, "%s", strings.Join(d.history.violations, "\n"))
 }
 
+// checkCrashes checks that requests which had crashed toleratedCrashes servers before the faults ended
+// reached few servers later than stabilityWindow after that.
+func (s *soak) checkCrashes(crashers []*crasher, faultsEnded time.Time) {
+	for _, c := range crashers {
+		list := c.crashes()
+		early := len(list) - len(crashesAfter(list, faultsEnded))
+		late := len(crashesAfter(list, faultsEnded.Add(stabilityWindow)))
+		s.log("%s: sent %d times, refused %d times, %d crashes, %d of them late", c.path, c.sent, c.refused, len(list), late)
+		s.deployment.history.expect(early < toleratedCrashes || late <= maximumLateCrashes, "%s crashed %d servers, then %d more", c.path, early, late)
+	}
+}
+
 // log logs a message with the time since the start.
 func (s *soak) log(format string, arguments ...any) {
 	s.t.Logf("%6.2f s  %s", time.Since(s.startedAt).Seconds(), fmt.Sprintf(format, arguments...))
