Requests that differ only in their query count together as causes of crashes

What servers would see: a request that crashes servers comes again with the same path and another query, and each time counts as a new one.

Change: a crash counts for two fingerprints, with and without the query; an answer clears both. Requests that share a path with a harmless one are cleared by its answers, and the fingerprint with the query still finds them.

Evidence: TestRequestCrashesServersUnderOtherQueries failed with 6 crashed servers of 6; now at most 4, as for equal requests.

--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -21,14 +21,16 @@
 	// Query identifies the request in later MoreRequests of the same dock.
 	Query uint64 `msgpack:"q"`
 	// Request is the caller's identifier.
-	Request       string                   `msgpack:"i"`
-	Fingerprint   identifier.Fingerprint   `msgpack:"f"`
-	Route         string                   `msgpack:"r"`
-	Configuration uint64                   `msgpack:"c"`
-	Method        string                   `msgpack:"m"`
-	Head          []byte                   `msgpack:"h"`
-	Body          []byte                   `msgpack:"b,omitempty"`
-	Services      []identifier.ServiceName `msgpack:"s"`
+	Request     string                 `msgpack:"i"`
+	Fingerprint identifier.Fingerprint `msgpack:"f"`
+	// PathFingerprint is the fingerprint without the request's query.
+	PathFingerprint identifier.Fingerprint   `msgpack:"pf,omitempty"`
+	Route           string                   `msgpack:"r"`
+	Configuration   uint64                   `msgpack:"c"`
+	Method          string                   `msgpack:"m"`
+	Head            []byte                   `msgpack:"h"`
+	Body            []byte                   `msgpack:"b,omitempty"`
+	Services        []identifier.ServiceName `msgpack:"s"`
 	// Rows is the maximum number of records that the reply needs to contain.
 	Rows     int `msgpack:"k"`
 	Attempts int `msgpack:"a"`
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -147,7 +147,7 @@
 		repeatPermit:        make(chan struct{}, 1),
 		detach:              func() bool { return true },
 
-		fingerprint: r.Fingerprint,
+		fingerprints: fingerprints{whole: r.Fingerprint, path: r.PathFingerprint},
 	}
 	q.ctx, q.cancel = context.WithDeadline(f.ctx, q.deadline)
 	b := &batch{
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -54,11 +55,25 @@
 	}
 }
 
-// fingerprint returns a hash of a request's method, host, target and body. Requests that are
-// identical to a server have the same fingerprint.
-func fingerprint(r *sender.Request) identifier.Fingerprint {
+// fingerprints are the fingerprints of a request. Requests with an equal fingerprint of either kind
+// may crash servers for the same reason.
+type fingerprints struct {
+	// whole is a hash of the method, host, path, query and body, and path one without the query. They
+	// are equal if there is no query. A dock of an older release sends no path.
+	whole identifier.Fingerprint
+	path  identifier.Fingerprint
+}
+
+// newFingerprints returns the fingerprints of a request.
+func newFingerprints(r *sender.Request) fingerprints {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return fingerprints{whole: fingerprint(r, r.Target), path: fingerprint(r, path)}
+}
+
+// fingerprint returns a hash of a request's method, host and body and of a target.
+func fingerprint(r *sender.Request, target string) identifier.Fingerprint {
 	d := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target} {
+	for _, part := range []string{r.Method, r.Host, target} {
 		// xxhash's Write never returns an error.
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
@@ -67,18 +82,31 @@
 	return identifier.Fingerprint(d.Sum64())
 }
 
+// list returns the distinct fingerprints.
+func (f fingerprints) list() []identifier.Fingerprint {
+	if f.path == f.whole || f.path == 0 {
+		return []identifier.Fingerprint{f.whole}
+	}
+	return []identifier.Fingerprint{f.whole, f.path}
+}
+
 // quarantineRemaining returns how much longer a request must not run, or zero if it may run.
-func (c *crashTracker) quarantineRemaining(now time.Time, f identifier.Fingerprint) time.Duration {
+func (c *crashTracker) quarantineRemaining(now time.Time, f fingerprints) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return max(0, c.quarantinedUntil[f].Sub(now))
+	return max(0, c.quarantinedUntil[f.whole].Sub(now), c.quarantinedUntil[f.path].Sub(now))
 }
 
 // mustIsolate reports whether a request may run on one server at a time only until it is answered.
-func (c *crashTracker) mustIsolate(now time.Time, f identifier.Fingerprint) bool {
+func (c *crashTracker) mustIsolate(now time.Time, f fingerprints) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return len(c.suspects[f].crashes) > 0 || now.Before(c.isolatedUntil[f])
+	for _, one := range f.list() {
+		if len(c.suspects[one].crashes) > 0 || now.Before(c.isolatedUntil[one]) {
+			return true
+		}
+	}
+	return false
 }
 
 // setQuarantines adds a keeper's list of quarantines and returns those that are new. Quarantines
@@ -130,11 +158,13 @@
 }
 
 // recordSuccess records that a request was answered, so that it did not cause the crashes.
-func (c *crashTracker) recordSuccess(f identifier.Fingerprint) {
+func (c *crashTracker) recordSuccess(f fingerprints) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.isolatedUntil, f)
-	c.withdraw(f)
+	for _, one := range f.list() {
+		delete(c.isolatedUntil, one)
+		c.withdraw(one)
+	}
 }
 
 // withdraw forgets the crashes of a fingerprint. The caller holds the lock.
@@ -205,24 +235,26 @@
 	defer cancel()
 	err := f.sender.Probe(ctx, destination)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
+		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
 			Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrashUnconfirmed)
 		return
 	}
-	f.log.Warn().Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprint)).
+	f.log.Warn().Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
 		Str(recorder.FieldServer, string(destination.ID)).Bool(recorder.FieldRepeat, a.isRepeat).Msg(recorder.EventCrash)
 	if q.wasAnswered.Load() {
 		return
 	}
-	isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
-		Fingerprint: q.fingerprint, Request: q.prepared.ID, Server: destination.ID, IsRepeat: a.isRepeat,
-	})
-	if isQuarantined {
-		f.logQuarantine(encoder.Quarantine{Fingerprint: q.fingerprint, Remaining: locator.QuarantineTime})
+	for _, one := range q.fingerprints.list() {
+		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
+			Fingerprint: one, Request: q.prepared.ID, Server: destination.ID, IsRepeat: a.isRepeat,
+		})
+		if isQuarantined {
+			f.logQuarantine(encoder.Quarantine{Fingerprint: one, Remaining: locator.QuarantineTime})
+		}
 	}
 	if q.wasAnswered.Load() {
 		// The answer arrived while the crash was recorded.
-		f.crashTracker.recordSuccess(q.fingerprint)
+		f.crashTracker.recordSuccess(q.fingerprints)
 	}
 	f.onObserved()
 }
@@ -230,6 +262,6 @@
 // recordAnswer records that a server has answered the request, which therefore crashes none.
 func (q *query) recordAnswer() {
 	if q.wasAnswered.CompareAndSwap(false, true) {
-		q.forwarder.crashTracker.recordSuccess(q.fingerprint)
+		q.forwarder.crashTracker.recordSuccess(q.fingerprints)
 	}
 }
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -120,9 +120,12 @@
 func (d *delegation) gatherRequest(now time.Time) encoder.GatherRequest {
 	q := d.query
 	request := encoder.GatherRequest{
-		Query:         d.id,
-		Request:       q.prepared.ID,
-		Fingerprint:   q.fingerprint,
+		Query:       d.id,
+		Request:     q.prepared.ID,
+		Fingerprint: q.fingerprints.whole,
+
+		PathFingerprint: q.fingerprints.path,
+
 		Route:         string(q.route.Name),
 		Configuration: q.configurationNumber,
 		Method:        q.prepared.Method,
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -71,11 +71,11 @@
 		patience = defaultIsolationPatience
 	}
 	q.isolation.patientUntil = now.Add(patience)
-	q.isolation.isSuspect = f.crashTracker.mustIsolate(now, q.fingerprint)
+	q.isolation.isSuspect = f.crashTracker.mustIsolate(now, q.fingerprints)
 	if !q.isolation.isSuspect || len(services) < 2 {
 		return q.start(q.delegate(services))
 	}
-	first := int(uint64(q.fingerprint) % uint64(len(services)))
+	first := int(uint64(q.fingerprints.whole) % uint64(len(services)))
 	q.isolation.held = slices.Delete(slices.Clone(services), first, first+1)
 	return q.start(services[first : first+1])
 }
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -37,8 +37,8 @@
 	route               *matcher.Route
 	request             *Request
 	prepared            *sender.PreparedRequest
-	// fingerprint identifies requests that crash servers.
-	fingerprint identifier.Fingerprint
+	// fingerprints identify requests that crash servers.
+	fingerprints fingerprints
 	// deadline is the earlier of the ends of the caller's and the route's timeout.
 	deadline time.Time
 	// target is when an answer must leave to meet the latency target. It is zero if the route has
@@ -106,7 +106,7 @@
 	}
 	q := &query{
 		forwarder: f, table: t, configurationNumber: t.Number(), route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
-		finished: make(chan struct{}), fingerprint: fingerprint(&r.Request),
+		finished: make(chan struct{}), fingerprints: newFingerprints(&r.Request),
 	}
 	q.ctx, q.cancel = context.WithDeadline(f.ctx, deadline)
 	q.detach = context.AfterFunc(ctx, q.cancel)
@@ -148,7 +148,7 @@
 // Otherwise it sends the request to them.
 func (q *query) admitAndAnswer() Outcome {
 	f := q.forwarder
-	if quarantineRemaining := f.crashTracker.quarantineRemaining(f.clock.Now(), q.fingerprint); quarantineRemaining > 0 {
+	if quarantineRemaining := f.crashTracker.quarantineRemaining(f.clock.Now(), q.fingerprints); quarantineRemaining > 0 {
 		return Refused{After: quarantineRemaining, Reason: ReasonQuarantined}
 	}
 	if !f.admit(q) {
@@ -208,7 +208,7 @@
 	if q.isolation.isGuilty && len(q.services()) > 1 {
 		return true
 	}
-	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprint) > 0
+	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprints) > 0
 }
 
 // wait handles the next event. It returns the outcome, or nil if the query goes on.
