A quarantine notice is sent until the leader accepts it

During a longer election the other docks never learnt that a request crashes servers, and each could let it crash two more. The queue stays bounded.

--- a/internal/dockrunner/notice_sender.go
+++ b/internal/dockrunner/notice_sender.go
@@ -12,10 +12,9 @@
 const (
 	// noticeQueueLength bounds the queued notices.
 	noticeQueueLength = 256
-	// noticeTimeout bounds each attempt to send a notice.
+	// noticeTimeout bounds each attempt to send a notice, and noticePause is the time between two.
 	noticeTimeout = time.Second
-	// noticeAttempts is the number of attempts after which a notice is dropped.
-	noticeAttempts = 5
+	noticePause   = 250 * time.Millisecond
 )
 
 // noticeSender reports fingerprints that crash backend servers to the leader of the keepers.
@@ -69,9 +68,9 @@
 	}
 }
 
-// deliver sends one notice until the leader accepts it, at most noticeAttempts times.
+// deliver sends one notice until the leader accepts it.
 func (s *noticeSender) deliver(n encoder.QuarantineNotice) {
-	for range noticeAttempts {
+	for {
 		ctx, cancel := context.WithTimeout(s.ctx, noticeTimeout)
 		r, err := linker.Call[encoder.QuarantineNotice, encoder.QuarantineReply](ctx, s.pool.Link(s.leader()), encoder.KindQuarantine, n)
 		cancel()
@@ -79,7 +78,7 @@
 			return
 		}
 		select {
-		case <-time.After(noticeTimeout / 4):
+		case <-time.After(noticePause):
 		case <-s.ctx.Done():
 			return
 		}
