--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -36,6 +36,8 @@
 	isolatedUntil    map[identifier.Fingerprint]time.Time
 	// suspects are the fingerprints that crashed a server and have not been answered since.
 	suspects map[identifier.Fingerprint]suspect
+	// crashCount counts the confirmed crashes.
+	crashCount int
 	// version is increased by each change of the suspects and each quarantine of this dock.
 	version uint64
 }
@@ -135,6 +137,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.removeExpired(now)
+	c.crashCount++
 	f := crash.Fingerprint
 	s, isKnown := c.suspects[f]
 	if now.Before(c.quarantinedUntil[f]) || (!isKnown && len(c.suspects) >= maxSuspects) {
@@ -206,6 +209,24 @@
 	return r, c.version
 }
 
+// CrashStats are figures about requests that crash servers, for metrics.
+type CrashStats struct {
+	// Quarantined is the number of fingerprints that must not run, and Suspects of those with crashes
+	// that have not been answered since.
+	Quarantined int
+	Suspects    int
+	// Crashes counts the crashes that were recorded since the start, once for each fingerprint.
+	Crashes int
+}
+
+// CrashStats returns the current figures.
+func (f *Forwarder) CrashStats() CrashStats {
+	c := f.crashTracker
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return CrashStats{Quarantined: len(c.quarantinedUntil), Suspects: len(c.suspects), Crashes: c.crashCount}
+}
+
 // CrashReport returns what this dock holds against requests, and a version that changes with it.
 func (f *Forwarder) CrashReport() (encoder.CrashReport, uint64) {
 	return f.crashTracker.report(f.clock.Now())
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -108,7 +108,7 @@
 func TestRequestCrashesServersUnderOtherQueries(t *testing.T) {
 	ids := []string{"a", "b", "c", "d", "e", "f"}
 	d := newCrashingDeployment(t, ids...)
-	for n := range len(ids) {
+	for n := range ids {
 		d.sendTo(context.Background(), "GET", fmt.Sprintf("/x/y?n=%d", n), "", time.Second)
 		waitFor(t, func() bool {
 			report, _ := d.forwarder.CrashReport()
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -128,6 +128,15 @@
 	m.Computed("forwarder.admitted_percent", measurer.Count, "Least share of any route's requests that the throttle admits, in percent.", func() int64 {
 		return int64(100 * d.forwarder.LeastAdmitted())
 	})
+	m.Computed("forwarder.quarantined", measurer.Count, "Fingerprints that must not run, because their requests crashed servers.", func() int64 {
+		return int64(d.forwarder.CrashStats().Quarantined)
+	})
+	m.Computed("forwarder.suspects", measurer.Count, "Fingerprints with crashes that have not been answered since.", func() int64 {
+		return int64(d.forwarder.CrashStats().Suspects)
+	})
+	m.Computed("forwarder.crashes", measurer.Count, "Crashes of servers at which requests were lost.", func() int64 {
+		return int64(d.forwarder.CrashStats().Crashes)
+	})
 	m.Computed("selector.servers", measurer.Count, "Backend servers that may get requests.", func() int64 {
 		return int64(d.forwarder.Stats().Servers)
 	})
