An owner does not run a quarantined request for another dock

What servers would see: while the docks learn of a quarantine one after the other, a dock that does not know of it yet delegates the request to owners, and these ran it although they knew.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -197,6 +197,24 @@
 	assert.Equal(t, d.executions(), 1)
 }
 
+// TestOwnerRunsAQuarantinedRequest guards against an owner that trusts a dock which does not know of
+// the quarantine yet.
+func TestOwnerRunsAQuarantinedRequest(t *testing.T) {
+	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: 5, Remaining: time.Minute}})
+	reply, err := d.forwarder.Gather(context.Background(), 1, encoder.GatherRequest{
+		Query: 1, Request: "id-1", Fingerprint: 5, Method: "GET", Services: services(crashingShards), Remaining: time.Second,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.IsDone)
+	assert.Equal(t, len(reply.Parts), crashingShards)
+	for _, part := range reply.Parts {
+		assert.Equal(t, part.Stamp, "")
+		assert.Assert(t, !part.HasRun)
+	}
+	assert.Equal(t, d.executions(), 0)
+}
+
 func TestSuspectRequestThatIsAnsweredRunsOnAllShards(t *testing.T) {
 	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
 	other := newCrashingDeployment(t, "a")
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -62,10 +62,14 @@
 }
 
 // begin sends the request to services, or first to a single one, selected by the fingerprint, if an
-// equal request may have crashed servers. It returns the outcome, or nil if the query goes on.
+// equal request may have crashed servers. It sends nothing if the request is quarantined. It returns
+// the outcome, or nil if the query goes on.
 func (q *query) begin(services []identifier.ServiceName) Outcome {
 	f := q.forwarder
 	now := f.clock.Now()
+	if f.crashTracker.quarantineRemaining(now, q.fingerprints) > 0 {
+		return q.failServices(services)
+	}
 	patience := f.latency(q.route.Name).High()
 	if patience <= 0 {
 		patience = defaultIsolationPatience
