A test's crash ends only what runs on the server that crashed

Cause: in the test's backend one crash lost the subrequests on all servers. Whether the isolated retry of a harmless request was in flight, on a server of its own, when the suspect crashed the next server, depended on the order of goroutines; such a retry was lost although its server had not crashed.

Now each server has its own signal. With a limit of three crashes, or without the isolated retry, the test fails.

--- a/internal/owner/policy_test.go
+++ b/internal/owner/policy_test.go
@@ -276,19 +276,26 @@
 		const poisonFingerprint = 666
 		var mutex sync.Mutex
 		crashes := 0
-		crash := make(chan struct{})
-		c := &scriptedBackend{answer: func(ctx context.Context, _ encoder.Server, s Subrequest) error {
+		// crash is closed for each server when it crashes, and then replaced.
+		crash := map[netip.AddrPort]chan struct{}{}
+		crashOf := func(server netip.AddrPort) chan struct{} {
+			if crash[server] == nil {
+				crash[server] = make(chan struct{})
+			}
+			return crash[server]
+		}
+		c := &scriptedBackend{answer: func(ctx context.Context, server encoder.Server, s Subrequest) error {
 			if string(s.Body) == "poison" {
 				time.Sleep(time.Millisecond)
 				mutex.Lock()
 				defer mutex.Unlock()
 				crashes++
-				close(crash)
-				crash = make(chan struct{})
+				close(crashOf(server.Address))
+				delete(crash, server.Address)
 				return &Failure{Cause: CauseConnectionLost, Started: true}
 			}
 			mutex.Lock()
-			crashed := crash
+			crashed := crashOf(server.Address)
 			mutex.Unlock()
 			select {
 			case <-crashed:
