--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -86,8 +86,8 @@
 	savedQuarantines uint64
 }
 
-// New starts a Broadcaster with the directory and the quarantines that were saved in the files. Silence is how long a
-// server may go without a heartbeat.
+// New starts a Broadcaster with the directory and the quarantines that were saved in the files.
+// Silence is how long a server may go without a heartbeat.
 func New(self identifier.Incarnation, silence time.Duration, keeperState func() KeeperState, files Files, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
 	b := &Broadcaster{
 		self:        self,
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -38,7 +38,7 @@
 	suspects map[identifier.Fingerprint]suspect
 	// crashCount counts the confirmed crashes.
 	crashCount int
-	// version is increased by each change of the suspects and each quarantine of this dock.
+	// version is increased by each change of the suspects and each new quarantine.
 	version uint64
 }
 
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -7,9 +7,9 @@
 	"banyandock.example/banyandock/internal/identifier"
 )
 
-// defaultIsolationPatience is how long a lost shard waits for the first answer of another one if the
+// defaultIsolationWait is how long a lost shard waits for the first answer of another one if the
 // route's latency is not known yet.
-const defaultIsolationPatience = 50 * time.Millisecond
+const defaultIsolationWait = 50 * time.Millisecond
 
 // isolation keeps a query whose request may crash servers from reaching more than one of them at a
 // time. A request that a server has answered crashes none. Only the query's goroutine accesses it.
@@ -21,13 +21,13 @@
 	hasLost    bool
 	hasRetried bool
 	hasAnswer  bool
-	// isGuilty is set if the request was lost again while it ran on a single server.
-	isGuilty bool
+	// hasLostRepeat is set if the request was lost again after it had been sent as a repeat.
+	hasLostRepeat bool
 	// inFlight counts the attempts without a result, and waiting the jobs that wait to retry.
 	inFlight int
 	waiting  int
-	// patientUntil is how long the first retry waits for an answer to another attempt.
-	patientUntil time.Time
+	// retryWaitsUntil is the time until which the first retry waits for an answer to another attempt.
+	retryWaitsUntil time.Time
 	// held are the services that the request is not sent to before it is answered by another one.
 	held []identifier.ServiceName
 }
@@ -37,7 +37,7 @@
 
 // mustWait reports whether a retry after a loss must wait for the result of another attempt.
 func (i *isolation) mustWait(now time.Time) bool {
-	return i.isActive() && i.inFlight > 0 && (i.hasRetried || now.Before(i.patientUntil))
+	return i.isActive() && i.inFlight > 0 && (i.hasRetried || now.Before(i.retryWaitsUntil))
 }
 
 // begin records that an attempt is sent. It reports whether the request was known to have lost or
@@ -55,7 +55,7 @@
 	case AttemptAnswered:
 		i.hasAnswer = true
 	case AttemptLost:
-		i.isGuilty = i.isGuilty || (i.isActive() && r.attempt.isRepeat)
+		i.hasLostRepeat = i.hasLostRepeat || (i.isActive() && r.attempt.isRepeat)
 		i.hasLost = true
 	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptCancelled:
 	}
@@ -70,11 +70,11 @@
 	if f.crashTracker.quarantineRemaining(now, q.fingerprints) > 0 {
 		return q.failServices(services)
 	}
-	patience := f.latency(q.route.Name).High()
-	if patience <= 0 {
-		patience = defaultIsolationPatience
+	wait := f.latency(q.route.Name).High()
+	if wait <= 0 {
+		wait = defaultIsolationWait
 	}
-	q.isolation.patientUntil = now.Add(patience)
+	q.isolation.retryWaitsUntil = now.Add(wait)
 	q.isolation.isSuspect = f.crashTracker.mustIsolate(now, q.fingerprints)
 	if !q.isolation.isSuspect || len(services) < 2 {
 		return q.start(q.delegate(services))
@@ -137,5 +137,5 @@
 	if q.isolation.hasRetried || q.isolation.waiting == 0 {
 		return next
 	}
-	return earlier(next, q.isolation.patientUntil)
+	return earlier(next, q.isolation.retryWaitsUntil)
 }
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -242,7 +242,7 @@
 // to do so. It returns false if a retry is not allowed or there is no further server.
 func (j *job) retry(now time.Time, isBudgetExempt bool) bool {
 	mayRepeat := j.query.route.Idempotent || j.runs == 0
-	if !mayRepeat || !j.mayRunMore() || j.query.isIncriminated(now) {
+	if !mayRepeat || !j.mayRunMore() || j.query.isRepeatForbidden(now) {
 		return false
 	}
 	if j.needsPermit() {
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -203,9 +203,10 @@
 	}
 }
 
-// isIncriminated reports whether the request must not be sent again, because it crashes servers.
-func (q *query) isIncriminated(now time.Time) bool {
-	if q.isolation.isGuilty && len(q.services()) > 1 {
+// isRepeatForbidden reports whether the request must not be sent again, because it crashes servers or
+// seems to.
+func (q *query) isRepeatForbidden(now time.Time) bool {
+	if q.isolation.hasLostRepeat && len(q.services()) > 1 {
 		return true
 	}
 	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprints) > 0
