Explain a quarantined request by the crashes of equal ones

An operator could not get from the id of a refused request to its cause: the refusal did not name the fingerprint, and explain left out the fingerprint and everything that happened at other docks or more than ten seconds before.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -61,7 +61,11 @@
 	Owners   []Owner `json:"owners"`
 	Slowness float64 `json:"slowness"`
 	Keeper   string  `json:"keeper"`
-	Error    string  `json:"error"`
+	IsRepeat bool    `json:"repeat"`
+	// Fingerprint and PathFingerprint identify equal requests, with and without the query.
+	Fingerprint     uint64 `json:"fingerprint"`
+	PathFingerprint uint64 `json:"path_fingerprint"`
+	Error           string `json:"error"`
 	// Text is the line as it was read.
 	Text string `json:"-"`
 }
@@ -213,9 +217,13 @@
 func (l *Line) observation() observation { return observation{event: l.Event, server: l.Server} }
 
 // isRelevant reports whether the line is close in time to one of the outcomes and either is about a
-// server or service of that outcome, or comes from the same host and names no server.
+// server or service of that outcome, or comes from the same host and names no server. A line about
+// the fingerprint of a quarantined request is relevant at any time before.
 func (e *Explanation) isRelevant(line Line) bool {
 	for _, o := range e.Outcomes {
+		if o.hasFingerprint(line.Fingerprint) && line.Time.Before(o.Time) {
+			return true
+		}
 		if line.Time.Before(o.Time.Add(-lookBack)) || line.Time.After(o.Time.Add(lookAhead)) {
 			continue
 		}
@@ -226,6 +234,11 @@
 	return false
 }
 
+// hasFingerprint reports whether the outcome has a fingerprint, which must not be zero.
+func (l *Line) hasFingerprint(fingerprint uint64) bool {
+	return fingerprint != 0 && (fingerprint == l.Fingerprint || fingerprint == l.PathFingerprint)
+}
+
 // mentions reports whether the outcome has an attempt to the server or a job for the service. An
 // empty name matches nothing.
 func (l *Line) mentions(server, service string) bool {
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -104,3 +104,22 @@
   d3, which owns shards, left out 10 (silent)
 `)
 }
+
+// TestRefusalOfAQuarantinedRequestIsExplainedByTheCrashes has crashes long before the refusal, at
+// another dock.
+func TestRefusalOfAQuarantinedRequestIsExplainedByTheCrashes(t *testing.T) {
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("docks.log", strings.NewReader(`{"level":"warn","program":"routedock","host":"d2","request":"r1","fingerprint":7,"server":"s1","repeat":true,"time":"2026-01-01T10:00:00Z","message":"server crashed"}
+{"level":"warn","program":"routedock","host":"d2","request":"r2","fingerprint":9,"server":"s2","time":"2026-01-01T10:00:01Z","message":"server crashed"}
+{"level":"warn","program":"routedock","host":"d2","fingerprint":8,"retry_after_ms":600000,"time":"2026-01-01T10:00:02Z","message":"request quarantined"}
+{"level":"warn","program":"routedock","host":"d1","request":"r3","fingerprint":7,"path_fingerprint":8,"route":"sweep","configuration":4,"outcome":"refused","reason":"quarantined","timeout_ms":1000,"retry_after_ms":500000,"time":"2026-01-01T10:01:40Z","message":"request"}
+`)))
+	s, err := l.Explain("r3")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Equal(t, b.String(), `10:00:00.000 d2: server crashed, server s1, request r1, fingerprint 7, repeat true
+10:00:02.000 d2: request quarantined, fingerprint 8
+10:01:40.000 d1: request r3 refused (quarantined) after 0 of 1000 ms, route sweep of configuration 4, fingerprint 7, told to come back after 500000 ms
+`)
+}
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -51,6 +51,9 @@
 	if l.Missing > 0 {
 		text += fmt.Sprintf(", %d of %d shards missing", l.Missing, l.Shards)
 	}
+	if l.Fingerprint != 0 {
+		text += fmt.Sprintf(", fingerprint %d", l.Fingerprint)
+	}
 	if l.RetryAfterMs > 0 {
 		text += fmt.Sprintf(", told to come back after %d ms", l.RetryAfterMs)
 	}
@@ -139,6 +142,11 @@
 	if l.Slowness > 0 {
 		add("times the usual latency", fmt.Sprintf("%.0f", l.Slowness))
 	}
+	add("request", l.Request)
+	add("fingerprint", fmt.Sprint(l.Fingerprint))
+	if l.IsRepeat {
+		add("repeat", "true")
+	}
 	add("error", l.Error)
 	return text
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -126,7 +126,9 @@
 	// crashed a server.
 	FieldRepeat = "repeat"
 	// FieldFingerprint is equal for requests that servers cannot distinguish from each other.
-	FieldFingerprint = "fingerprint"
+	// FieldPathFingerprint ignores the query.
+	FieldFingerprint     = "fingerprint"
+	FieldPathFingerprint = "path_fingerprint"
 	// FieldCause is the reason for an attempt: first, hedge or retry.
 	FieldCause = "cause"
 	FieldAt    = "at_ms"
