--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"slices"
 	"time"
@@ -17,7 +18,7 @@
 )
 
 const (
-	// maxLineBytes limits the length of a line. Add fails on a longer line.
+	// maxLineBytes limits the length of a line. A longer line counts as one that cannot be parsed.
 	maxLineBytes = 1 << 20
 	// lookBack is how long before a request's outcome a state change is still relevant.
 	lookBack = 10 * time.Second
@@ -110,17 +111,27 @@
 
 // Add reads the lines of a file and counts those that cannot be parsed. It skips the text before a
 // line's first brace, because log collectors insert their own prefixes there. It returns an error
-// if reading fails or a line is longer than maxLineBytes.
+// if reading fails.
 func (l *Log) Add(name string, r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-	for scanner.Scan() {
-		l.add(name, scanner.Bytes())
-	}
-	if err := scanner.Err(); err != nil {
-		return eris.Wrapf(err, "read %s", name)
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	isContinued := false
+	for {
+		text, isPartial, err := reader.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrapf(err, "read %s", name)
+		}
+		switch {
+		case isContinued:
+		case isPartial:
+			l.unreadable[name]++
+		default:
+			l.add(name, text)
+		}
+		isContinued = isPartial
 	}
-	return nil
 }
 
 // add parses one line.
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -123,3 +123,15 @@
 10:01:40.000 d1: request r3 refused (quarantined) after 0 of 1000 ms, route sweep of configuration 4, fingerprint 7, told to come back after 500000 ms
 `)
 }
+
+// TestLongLineEndsTheExplanation guards against a file whose remaining lines are lost after one that is
+// too long.
+func TestLongLineEndsTheExplanation(t *testing.T) {
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("long.log", strings.NewReader(strings.Repeat("x", 3<<20)+"\n"+dockLog)))
+	_, err := l.Explain("r7")
+	assert.NilError(t, err)
+	var b strings.Builder
+	l.WriteUnreadable(&b)
+	assert.Equal(t, b.String(), "long.log: 3 lines could not be read\n")
+}
