The soak sends requests that crash servers until after the stability window

Its check of late crashes counted those later than 4 s after the faults, but most runs had ended by then, so that it could hardly fail. It now goes on for three seconds after that.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,9 @@
 	recoveryTimeout = 12 * time.Second
 	// steadyTime is how long the share of served requests is measured after the recovery.
 	steadyTime = 2 * time.Second
+	// lateCrashTime is how long requests that crash servers are sent after the deployment must refuse
+	// them.
+	lateCrashTime = 3 * time.Second
 	// soakCrashDivisor is how often requests that crash servers are sent while a crashed server is
 	// down.
 	soakCrashDivisor = 10
@@ -153,6 +156,7 @@
 	s.awaitServing(ctx, recoveryTimeout)
 	s.awaitReadBack(ctx, time.Until(faultsEnded.Add(recoveryTimeout)))
 	s.expectSteadyService(ctx)
+	sleep(ctx, time.Until(faultsEnded.Add(stabilityWindow+lateCrashTime)))
 	cancel()
 	callers.Wait()
 	s.checkCrashes(crashers, faultsEnded)
