Split the broadcaster's file by what its parts do

broadcaster.go had grown to 522 lines with four jobs. The watches are in watch.go now, the requests that crash servers in quarantine.go, and what is kept on disk in saver.go.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -4,8 +4,6 @@
 package broadcaster
 
 import (
-	"context"
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -15,7 +13,6 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
-	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -112,89 +109,6 @@
 	return b
 }
 
-// restore loads the directory and the quarantines that an earlier process saved.
-func (b *Broadcaster) restore() {
-	now := b.clock.Now()
-	saved, err := b.files.Directory.Load()
-	if err != nil {
-		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnread)
-	} else {
-		b.directory.Restore(now, saved)
-	}
-	quarantines, err := b.files.Quarantines.Load()
-	if err != nil {
-		b.log.Warn().Err(err).Msg(recorder.EventQuarantinesUnread)
-		return
-	}
-	for _, f := range b.crashTracker.Adopt(now, quarantines) {
-		b.logFinding(f)
-	}
-	b.updateQuarantines(now)
-	b.savedQuarantines = b.quarantinesDigest
-}
-
-// saver saves the directory at intervals, and the quarantines at once when they change.
-type saver struct {
-	*Broadcaster
-}
-
-// loop saves what has changed.
-func (s *saver) loop() {
-	defer s.tasks.Done()
-	ticker := s.clock.NewTicker(saveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-s.quarantinesChanged:
-			s.saveQuarantines()
-		case <-ticker.C:
-			s.Save()
-			s.saveQuarantines()
-		}
-	}
-}
-
-// saveQuarantines writes the quarantines to their file if they have changed. After a failure, the
-// next tick tries again.
-func (b *Broadcaster) saveQuarantines() {
-	b.mutex.Lock()
-	digest, quarantines := b.quarantinesDigest, b.quarantines
-	isSaved := digest == b.savedQuarantines
-	b.mutex.Unlock()
-	if isSaved {
-		return
-	}
-	if err := b.files.Quarantines.Save(quarantines); err != nil {
-		b.log.Warn().Err(err).Msg(recorder.EventQuarantinesUnsaved)
-		return
-	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.savedQuarantines = digest
-}
-
-// Save writes the directory to its file if it has changed. A failure is logged and matters only if
-// the keeper restarts before a later save succeeds.
-func (b *Broadcaster) Save() {
-	b.mutex.Lock()
-	lastChange := b.base + uint64(len(b.changes))
-	if lastChange == b.savedChange {
-		b.mutex.Unlock()
-		return
-	}
-	all := b.directory.All(b.clock.Now())
-	b.mutex.Unlock()
-	if err := b.files.Directory.Save(all); err != nil {
-		b.log.Warn().Err(err).Msg(recorder.EventDirectoryUnsaved)
-		return
-	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.savedChange = max(b.savedChange, lastChange)
-}
-
 // Close stops all goroutines and ends all watches.
 func (b *Broadcaster) Close() {
 	close(b.stop)
@@ -239,56 +153,6 @@
 	b.outlierDetector.Observe(b.clock.Now(), n.Observations)
 }
 
-// ReportCrashes records what a dock holds against requests and the quarantines that it knows of.
-func (b *Broadcaster) ReportCrashes(dock identifier.Incarnation, r encoder.CrashReport) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.clock.Now()
-	findings := append(b.crashTracker.Report(now, dock, r.Crashes), b.crashTracker.Adopt(now, r.Quarantines)...)
-	if len(findings) == 0 {
-		return
-	}
-	for _, f := range findings {
-		b.logFinding(f)
-	}
-	b.updateQuarantines(now)
-}
-
-// updateQuarantines computes the quarantines, and if they have changed, wakes all watches and the
-// saver. The caller holds the lock.
-func (b *Broadcaster) updateQuarantines(now time.Time) {
-	quarantines := b.crashTracker.Quarantines(now)
-	digest := quarantinesDigest(quarantines)
-	if digest == b.quarantinesDigest {
-		return
-	}
-	b.quarantines, b.quarantinesDigest = quarantines, digest
-	b.wakeAllWatches()
-	select {
-	case b.quarantinesChanged <- struct{}{}:
-	default:
-	}
-}
-
-// logFinding logs that a crash was counted for a fingerprint, that a dock withdrew its crashes, or
-// that another process quarantined the fingerprint.
-func (b *Broadcaster) logFinding(f locator.CrashFinding) {
-	outcome := "suspected"
-	if f.IsQuarantined {
-		outcome = "quarantined"
-	}
-	line := b.log.Info().Uint64(recorder.FieldFingerprint, uint64(f.Fingerprint)).Str(recorder.FieldOutcome, outcome)
-	switch {
-	case f.Crash != nil:
-		line.Str(recorder.FieldRequest, f.Crash.Request).Str(recorder.FieldServer, string(f.Crash.Server)).
-			Bool(recorder.FieldRepeat, f.Crash.IsRepeat).Int(recorder.FieldCount, f.Count).Msg(recorder.EventCrashCounted)
-	case f.IsQuarantined:
-		line.Msg(recorder.EventQuarantineAdopted)
-	default:
-		line.Msg(recorder.EventSuspicionCleared)
-	}
-}
-
 // evaluateObservations computes the slow servers and the quarantines that have not ended, and wakes
 // all watches if either has changed.
 func (b *Broadcaster) evaluateObservations() {
@@ -305,23 +169,6 @@
 	b.wakeAllWatches()
 }
 
-// quarantinesDigest identifies the fingerprints that are quarantined and those that must run
-// isolated. It is zero for an empty list.
-func quarantinesDigest(quarantines []encoder.Quarantine) uint64 {
-	if len(quarantines) == 0 {
-		return 0
-	}
-	d := xxhash.New()
-	for _, q := range quarantines {
-		// xxhash's Write never returns an error.
-		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(q.Fingerprint)))
-		if q.Remaining > 0 {
-			_, _ = d.Write([]byte{1})
-		}
-	}
-	return d.Sum64() | 1
-}
-
 // slowServersDigest identifies a list of slow servers. It is zero for an empty list.
 func slowServersDigest(servers []encoder.SlowServer) uint64 {
 	if len(servers) == 0 {
@@ -375,58 +222,6 @@
 	b.wakeups.urgent = make(chan struct{})
 }
 
-// Watch answers a dock's watch request as soon as there is an update for it, or without one when
-// the requested wait is over. Changes of the directory alone are delayed by batchDelay, so that
-// others can join them.
-func (b *Broadcaster) Watch(ctx context.Context, dock identifier.HostName, request encoder.WatchRequest) encoder.WatchReply {
-	timer := b.clock.NewTimer(min(request.Wait, maxWait))
-	defer timer.Stop()
-	isDue, isBatching := false, false
-	for {
-		reply, kind, wakeups := b.prepareReply(dock, request)
-		if isDue || kind == updateUrgent {
-			return reply
-		}
-		if kind == updateDirectory && !isBatching {
-			isBatching = true
-			timer.Reset(batchDelay)
-		}
-		changed := wakeups.changed
-		if isBatching {
-			changed = wakeups.urgent
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			isDue = true
-		case <-ctx.Done():
-			b.markDisconnected(dock)
-			isDue = true
-		case <-b.stop:
-			isDue = true
-		}
-	}
-}
-
-// markDisconnected records that a dock's watch broke off. The dock is not listed until it watches
-// again.
-func (b *Broadcaster) markDisconnected(dock identifier.HostName) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.docks.markDisconnected(dock)
-}
-
-// updateKind classifies what a reply to a watch contains.
-type updateKind uint8
-
-const (
-	updateNone updateKind = iota
-	// updateDirectory means that registrations have changed.
-	updateDirectory
-	// updateUrgent means that the reply must be sent at once.
-	updateUrgent
-)
-
 // wakeChannels are the channels that watches wait on. Each is closed to wake its waiters and then
 // replaced.
 type wakeChannels struct {
@@ -434,89 +229,3 @@
 	changed chan struct{}
 	urgent  chan struct{}
 }
-
-// prepareReply returns the reply to a watch request, what kind of update the reply contains, and
-// the channels to wait on for the next one.
-func (b *Broadcaster) prepareReply(dock identifier.HostName, request encoder.WatchRequest) (encoder.WatchReply, updateKind, wakeChannels) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	// The channels are read before the keeper's state, so that a change in between is noticed.
-	wakeups := b.wakeups
-	s := b.keeperState()
-	now := b.clock.Now()
-	b.docks.recordWatch(now, dock, request.Dock)
-	reply := b.newReply(s, request, now)
-	b.addDocks(&reply, request, now)
-	b.addServers(&reply, request, now)
-	switch {
-	case isUrgent(reply, request):
-		return reply, updateUrgent, wakeups
-	case len(reply.Servers) > 0:
-		return reply, updateDirectory, wakeups
-	default:
-		return reply, updateNone, wakeups
-	}
-}
-
-// newReply returns a reply with the keeper's state. It contains slow servers, quarantines and
-// members only if the dock holds others. The caller holds the lock.
-func (b *Broadcaster) newReply(s KeeperState, request encoder.WatchRequest, now time.Time) encoder.WatchReply {
-	reply := encoder.WatchReply{
-		Keeper:         b.self,
-		Seen:           b.base + uint64(len(b.changes)),
-		Configuration:  s.Configuration,
-		IsVoter:        s.IsVoter,
-		IsLeader:       s.IsLeader,
-		MembersDigest:  s.MembersDigest,
-		VerdictsDigest: b.slowServersDigest,
-
-		QuarantinesDigest: b.quarantinesDigest,
-
-		Voters: s.Voters,
-	}
-	if reply.VerdictsDigest != request.VerdictsDigest {
-		reply.Verdicts = b.slowServers
-	}
-	if reply.QuarantinesDigest != request.QuarantinesDigest {
-		reply.Quarantines = b.crashTracker.Quarantines(now)
-	}
-	if reply.MembersDigest != request.MembersDigest {
-		reply.Members = s.Members
-	}
-	return reply
-}
-
-// addDocks adds the number of docks and of their failure domains and, on the leader, the docks in
-// the sender's failure domain if it holds another list. The caller holds the lock.
-func (b *Broadcaster) addDocks(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
-	reply.Docks, reply.Domains = b.docks.count(now)
-	domainDocks, digest := b.docks.domainDocks(request.Dock.Domain)
-	reply.FellowsDigest = digest
-	if reply.IsLeader && digest != request.FellowsDigest {
-		reply.Fellows = domainDocks
-	}
-}
-
-// addServers adds the changes that a dock has not seen. It adds the whole directory if those
-// changes are no longer kept or if the dock last watched another process of this keeper. The caller
-// holds the lock.
-func (b *Broadcaster) addServers(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
-	if request.Keeper == b.self && request.Seen >= b.base && request.Seen <= reply.Seen {
-		reply.Servers = b.changes[request.Seen-b.base:]
-		return
-	}
-	reply.IsWhole = true
-	reply.Servers = b.directory.All(now)
-}
-
-// isUrgent reports whether a reply must be sent at once. Changed members, slow servers and
-// quarantines count only from the leader, so that not all keepers answer at once. The others include
-// them in their next reply.
-func isUrgent(reply encoder.WatchReply, request encoder.WatchRequest) bool {
-	if reply.IsWhole || reply.Configuration > request.Configuration {
-		return true
-	}
-	hasChanged := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest ||
-		reply.QuarantinesDigest != request.QuarantinesDigest
-	return reply.IsLeader && hasChanged
-}
