Log and count the limits that servers name

A server in need names in its replies how many requests a second it takes from all docks together. Nothing read that, so that neither logs nor metrics told whether docks knew of a limit. Now the reply's limit is parsed, the newest statement of each server is kept, and each change is logged and counted. Nothing depends on it yet.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -61,6 +61,8 @@
 	// Owners are the docks that did not deliver the results of all their shards.
 	Owners   []Owner `json:"owners"`
 	Slowness float64 `json:"slowness"`
+	// Limit is the requests per second that a server takes from all docks together.
+	Limit    float64 `json:"limit"`
 	Keeper   string  `json:"keeper"`
 	IsRepeat bool    `json:"repeat"`
 	// Fingerprint and PathFingerprint identify equal requests, with and without the query.
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -142,6 +142,9 @@
 	if l.Slowness > 0 {
 		add("times the usual latency", fmt.Sprintf("%.0f", l.Slowness))
 	}
+	if l.Limit > 0 {
+		add("requests a second", fmt.Sprintf("%g", l.Limit))
+	}
 	add("request", l.Request)
 	add("fingerprint", fmt.Sprint(l.Fingerprint))
 	if l.IsRepeat {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -130,6 +130,9 @@
 // updateSelector passes the attempt's outcome and latency and the server's load to the selector.
 func (a *attempt) updateSelector(now time.Time, flight *selector.InFlightRequest, r attemptResult) {
 	f := a.job.query.forwarder
+	if r.reply != nil {
+		f.observeLimit(now, flight, r.reply.Metadata)
+	}
 	switch r.outcome {
 	case AttemptAnswered:
 		a.job.latency.Observe(f.selector.Answered(now, flight, false, reportedLoad(r.reply.Metadata)))
@@ -144,6 +147,21 @@
 	}
 }
 
+// observeLimit passes what a server's reply says of the requests that the server takes to the
+// selector. The reply of another server than the chosen one says nothing of that one.
+func (f *Forwarder) observeLimit(now time.Time, flight *selector.InFlightRequest, reply sender.ReplyMetadata) {
+	if reply.IsWrongServer {
+		return
+	}
+	switch reply.LimitState {
+	case sender.LimitNamed:
+		f.selector.ObserveLimit(now, flight, reply.Limit)
+	case sender.LimitAbsent:
+		f.selector.ObserveNoLimit(flight)
+	case sender.LimitUnreadable:
+	}
+}
+
 // reportedLoad returns the load that a server reported in its reply, or nil if it reported none.
 func reportedLoad(facts sender.ReplyMetadata) *selector.Load {
 	if !facts.HasLoad {
--- a/internal/forwarder/serverlogger.go
+++ b/internal/forwarder/serverlogger.go
@@ -21,6 +21,9 @@
 	if b.Failures > 0 {
 		line = line.Int(recorder.FieldCount, b.Failures)
 	}
+	if b.Kind == selector.ServerLimited {
+		line = line.Float64(recorder.FieldLimit, b.Limit)
+	}
 	line.Msg(eventName(b.Kind))
 }
 
@@ -39,6 +42,10 @@
 		return recorder.EventServerSlow
 	case selector.ServerRecovered:
 		return recorder.EventServerRecovered
+	case selector.ServerLimited:
+		return recorder.EventServerLimited
+	case selector.ServerUnlimited:
+		return recorder.EventServerUnlimited
 	}
 	return k.String()
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -22,6 +22,10 @@
 	EventServerSlow = "server slow"
 	// EventServerRecovered reports that a slow backend server is as fast as the others again.
 	EventServerRecovered = "server recovered"
+	// EventServerLimited reports that a backend server names a limit of the requests that it takes from
+	// all docks together, and EventServerUnlimited that it no longer does.
+	EventServerLimited   = "server limited"
+	EventServerUnlimited = "server no longer limited"
 	// EventServerDeparts reports that a backend server announced that it leaves or has left.
 	EventServerDeparts = "server departs"
 	// EventDepartureNotForwarded reports that a keeper failed to forward a departure to another
@@ -140,6 +144,8 @@
 	FieldStatus   = "status"
 	FieldBudget   = "budget_left"
 	FieldSlowness = "slowness"
+	// FieldLimit is the number of requests per second that a server takes from all docks together.
+	FieldLimit    = "limit"
 	FieldState    = "state"
 	FieldSequence = "sequence"
 	FieldBorn     = "born"
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -143,6 +143,9 @@
 	m.Computed("selector.slow_servers", measurer.Count, "Backend servers that most docks find slow.", func() int64 {
 		return int64(d.forwarder.Stats().Slow)
 	})
+	m.Computed("selector.limited_servers", measurer.Count, "Backend servers that name a limit of the requests that they take.", func() int64 {
+		return int64(d.forwarder.Stats().Limited)
+	})
 	m.Computed("selector.repeats_left", measurer.Count, "Repeats that the service with the fewest still allows.", func() int64 {
 		return int64(d.forwarder.Stats().Repeats)
 	})
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/limiter"
 	"banyandock.example/banyandock/internal/locator"
 )
 
@@ -55,6 +56,8 @@
 	// to it failed. connectFailures counts consecutive failures to connect.
 	blockedUntil    time.Time
 	connectFailures int
+	// limit is what the server last said of the requests that it takes.
+	limit limiter.Statement
 	// isOutsideSubset is set for servers to which this host does not plan to hold connections.
 	isOutsideSubset bool
 }
--- a/internal/selector/serverevent.go
+++ b/internal/selector/serverevent.go
@@ -24,6 +24,10 @@
 	ServerSlow // slow
 	// ServerRecovered means that the server is no longer slow.
 	ServerRecovered // recovered
+	// ServerLimited means that the server named a limit, or another one than before.
+	ServerLimited // limited
+	// ServerUnlimited means that the server no longer names a limit.
+	ServerUnlimited // unlimited
 )
 
 // ServerEvent is a change of the state in which this host sees a server.
@@ -37,6 +41,8 @@
 	// Failures is the number of consecutive failures to connect to an unreachable server. It is
 	// zero for other events.
 	Failures int
+	// Limit is the limit that the server named, in requests per second. It is zero for other events.
+	Limit float64
 }
 
 // OnServerEvent sets the function that is called at each server event. The function must not block
--- a/internal/selector/servereventkind_enumer.go
+++ b/internal/selector/servereventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ServerEventKindName = "unreachablereachedtakendroppedslowrecovered"
+const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimited"
 
-var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43}
+var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59}
 
-const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecovered"
+const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimited"
 
 func (i ServerEventKind) String() string {
 	if i >= ServerEventKind(len(_ServerEventKindIndex)-1) {
@@ -24,15 +24,17 @@
 // Re-run the stringer command to generate them again.
 func _ServerEventKindNoOp() {
 	var x [1]struct{}
-	_ = x[ServerUnreachable-0]
-	_ = x[ServerReachable-1]
-	_ = x[ServerAdded-2]
-	_ = x[ServerRemoved-3]
-	_ = x[ServerSlow-4]
-	_ = x[ServerRecovered-5]
+	_ = x[ServerUnreachable-(0)]
+	_ = x[ServerReachable-(1)]
+	_ = x[ServerAdded-(2)]
+	_ = x[ServerRemoved-(3)]
+	_ = x[ServerSlow-(4)]
+	_ = x[ServerRecovered-(5)]
+	_ = x[ServerLimited-(6)]
+	_ = x[ServerUnlimited-(7)]
 }
 
-var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered}
+var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited}
 
 var _ServerEventKindNameToValueMap = map[string]ServerEventKind{
 	_ServerEventKindName[0:11]:  ServerUnreachable,
@@ -41,6 +43,8 @@
 	_ServerEventKindName[23:30]: ServerRemoved,
 	_ServerEventKindName[30:34]: ServerSlow,
 	_ServerEventKindName[34:43]: ServerRecovered,
+	_ServerEventKindName[43:50]: ServerLimited,
+	_ServerEventKindName[50:59]: ServerUnlimited,
 }
 
 var _ServerEventKindLowerNameToValueMap = map[string]ServerEventKind{
@@ -50,6 +54,8 @@
 	_ServerEventKindLowerName[23:30]: ServerRemoved,
 	_ServerEventKindLowerName[30:34]: ServerSlow,
 	_ServerEventKindLowerName[34:43]: ServerRecovered,
+	_ServerEventKindLowerName[43:50]: ServerLimited,
+	_ServerEventKindLowerName[50:59]: ServerUnlimited,
 }
 
 var _ServerEventKindNames = []string{
@@ -59,6 +65,8 @@
 	_ServerEventKindName[23:30],
 	_ServerEventKindName[30:34],
 	_ServerEventKindName[34:43],
+	_ServerEventKindName[43:50],
+	_ServerEventKindName[50:59],
 }
 
 // ServerEventKindString retrieves an enum value from the enum constants string name.
--- a/internal/selector/stats.go
+++ b/internal/selector/stats.go
@@ -6,6 +6,8 @@
 	// that the docks together found slow.
 	Servers int
 	Slow    int
+	// Limited is the number of servers that name a limit.
+	Limited int
 	// Repeats is the smallest number of repeats left in any service's budget, or a full burst if no
 	// budget has been used.
 	Repeats float64
@@ -16,6 +18,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	stats := Stats{Servers: len(s.servers), Slow: len(s.slowServers), Repeats: s.allowance("").burst}
+	for _, v := range s.servers {
+		if v.limit.IsNamed {
+			stats.Limited++
+		}
+	}
 	for _, b := range s.budgets {
 		stats.Repeats = min(stats.Repeats, b.tokens)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -81,6 +81,10 @@
 	NotRun bool
 	// IsWrongServer is true if the address belongs to a different server.
 	IsWrongServer bool
+	// LimitState tells whether the reply names a limit of the requests that the server takes from all
+	// docks together, and Limit is that limit in requests per second.
+	LimitState LimitState
+	Limit      float64
 	// HasLoad is true if Running, Waiting and Slots are set.
 	HasLoad bool
 	Running int
