--- a/soak/history.go
+++ b/soak/history.go
@@ -64,6 +64,22 @@
 	h.runs[r.Request] = append(h.runs[r.Request], r)
 }
 
+// runsAt returns the times at which a backend server ran requests, in their order.
+func (h *history) runsAt(server string) []time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	list := []time.Time{}
+	for _, runs := range h.runs {
+		for _, r := range runs {
+			if r.Server == server {
+				list = append(list, r.At)
+			}
+		}
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return list
+}
+
 // recordRequest records a caller's request with its answer.
 func (h *history) recordRequest(request callerRequest) {
 	h.mutex.Lock()
