Servers that name a limit get no more than it from all docks together

What callers saw: nothing; a server in need got all of its usual requests, 212 in 4 s after it had named 2.1 a second, until it could take no more.

Cause: no code depended on the limit that a server's replies name. It is a sum over all docks, so that a share for each dock fails at both ends: with 1 a second and 15 docks a burst of one each is too much.

Change: the leading keeper issues tokens, one for each request to such a server (limiter.Issuer, a token bucket a server that starts empty, so that a new leader adds nothing to what the last one gave). First sends, hedges and retries need one alike. Docks report what servers say, with its age, and the newest statement counts in any order; the leader tells all docks within a quarter of a second. A query that needs servers of which all copies are limited gets all its tokens at once or none and is refused before anything is sent, with the time that the limits need for the callers refused lately; a scattered one leaves a part out at once if its coverage allows that. A limited server is asked at least every 4 s, so that it can say that its limit is over. Limited servers do not count as room when the throttle looks for congestion. Without a leader, limited servers get nothing and their other copies serve.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -12,6 +12,7 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/limiter"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
@@ -68,6 +69,9 @@
 	crashTracker      *locator.CrashTracker
 	quarantines       []encoder.Quarantine
 	quarantinesDigest uint64
+	// issuer issues tokens for the servers that name limits. limitsDigest identifies the limits.
+	issuer       *limiter.Issuer
+	limitsDigest uint64
 	// slowServers are the latest result of outlierDetector, and slowServersDigest identifies them.
 	slowServers       []encoder.SlowServer
 	slowServersDigest uint64
@@ -99,6 +103,7 @@
 		directory:       locator.NewDirectory(silence),
 		outlierDetector: locator.NewOutlierDetector(),
 		crashTracker:    locator.NewCrashTracker(),
+		issuer:          limiter.NewIssuer(),
 		docks:           newDockSet(),
 		wakeups:         wakeChannels{changed: make(chan struct{}), urgent: make(chan struct{})},
 	}
@@ -160,6 +165,7 @@
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
 	b.updateQuarantines(now)
+	b.updateLimits(now)
 	slowServers := b.outlierDetector.SlowServers(now)
 	digest := slowServersDigest(slowServers)
 	if digest == b.slowServersDigest {
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -105,6 +105,12 @@
 	if reply.QuarantinesDigest != request.QuarantinesDigest {
 		reply.Quarantines = b.crashTracker.Quarantines(now)
 	}
+	if s.IsLeader {
+		reply.LimitsDigest = b.limitsDigest
+	}
+	if s.IsLeader && reply.LimitsDigest != request.LimitsDigest {
+		reply.Limits = b.issuer.Limits(now)
+	}
 	if reply.MembersDigest != request.MembersDigest {
 		reply.Members = s.Members
 	}
@@ -134,7 +140,7 @@
 	reply.Servers = b.directory.All(now)
 }
 
-// isUrgent reports whether a reply must be sent at once. Changed members, slow servers and
+// isUrgent reports whether a reply must be sent at once. Changed members, slow servers, limits and
 // quarantines count only from the leader, so that not all keepers answer at once. The others include
 // them in their next reply.
 func isUrgent(reply encoder.WatchReply, request encoder.WatchRequest) bool {
@@ -142,6 +148,6 @@
 		return true
 	}
 	hasChanged := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest ||
-		reply.QuarantinesDigest != request.QuarantinesDigest
+		reply.QuarantinesDigest != request.QuarantinesDigest || reply.LimitsDigest != request.LimitsDigest
 	return reply.IsLeader && hasChanged
 }
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -93,4 +93,6 @@
 	KindMore
 	// KindCrashReport carries a CrashReport from a dock to a keeper.
 	KindCrashReport
+	// KindTokens carries a TokenRequest from a dock to the leading keeper.
+	KindTokens
 )
--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -31,6 +31,9 @@
 	Head            []byte                   `msgpack:"h"`
 	Body            []byte                   `msgpack:"b,omitempty"`
 	Services        []identifier.ServiceName `msgpack:"s"`
+	// Tokens holds the server of each shard for which the sender has a token, or an empty ID. It is
+	// empty if there are none.
+	Tokens []ServerID `msgpack:"o,omitempty"`
 	// Rows is the maximum number of records that the reply needs to contain.
 	Rows     int `msgpack:"k"`
 	Attempts int `msgpack:"a"`
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_report"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokens"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121, 133}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121, 133, 139}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_report"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokens"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -24,29 +24,30 @@
 // Re-run the stringer command to generate them again.
 func _KindNoOp() {
 	var x [1]struct{}
-	_ = x[KindNone-0]
-	_ = x[KindShardBatch-1]
-	_ = x[KindHandover-2]
-	_ = x[KindPoll-3]
-	_ = x[KindClaim-4]
-	_ = x[KindSettle-5]
-	_ = x[KindSubmit-6]
-	_ = x[KindStatus-7]
-	_ = x[KindEvents-8]
-	_ = x[KindAgreement-9]
-	_ = x[KindQuarantine-10]
-	_ = x[KindCanary-11]
-	_ = x[KindWatch-12]
-	_ = x[KindFetch-13]
-	_ = x[KindConfirm-14]
-	_ = x[KindDepart-15]
-	_ = x[KindObserve-16]
-	_ = x[KindGather-17]
-	_ = x[KindMore-18]
-	_ = x[KindCrashReport-19]
+	_ = x[KindNone-(0)]
+	_ = x[KindShardBatch-(1)]
+	_ = x[KindHandover-(2)]
+	_ = x[KindPoll-(3)]
+	_ = x[KindClaim-(4)]
+	_ = x[KindSettle-(5)]
+	_ = x[KindSubmit-(6)]
+	_ = x[KindStatus-(7)]
+	_ = x[KindEvents-(8)]
+	_ = x[KindAgreement-(9)]
+	_ = x[KindQuarantine-(10)]
+	_ = x[KindCanary-(11)]
+	_ = x[KindWatch-(12)]
+	_ = x[KindFetch-(13)]
+	_ = x[KindConfirm-(14)]
+	_ = x[KindDepart-(15)]
+	_ = x[KindObserve-(16)]
+	_ = x[KindGather-(17)]
+	_ = x[KindMore-(18)]
+	_ = x[KindCrashReport-(19)]
+	_ = x[KindTokens-(20)]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore, KindCrashReport}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore, KindCrashReport, KindTokens}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:     KindNone,
@@ -69,6 +70,7 @@
 	_KindName[111:117]: KindGather,
 	_KindName[117:121]: KindMore,
 	_KindName[121:133]: KindCrashReport,
+	_KindName[133:139]: KindTokens,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -92,6 +94,7 @@
 	_KindLowerName[111:117]: KindGather,
 	_KindLowerName[117:121]: KindMore,
 	_KindLowerName[121:133]: KindCrashReport,
+	_KindLowerName[133:139]: KindTokens,
 }
 
 var _KindNames = []string{
@@ -115,6 +118,7 @@
 	_KindName[111:117],
 	_KindName[117:121],
 	_KindName[121:133],
+	_KindName[133:139],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -66,7 +66,9 @@
 	FellowsDigest uint64
 	// QuarantinesDigest identifies the list of quarantines that the dock has.
 	QuarantinesDigest uint64
-	Wait              time.Duration
+	// LimitsDigest identifies the list of limits of servers that the dock has.
+	LimitsDigest uint64
+	Wait         time.Duration
 }
 
 // WatchReply answers a WatchRequest.
@@ -104,6 +106,10 @@
 	// those that must run isolated. It is empty if the request has the same digest.
 	Quarantines       []Quarantine
 	QuarantinesDigest uint64
+	// Limits lists, on the leader, the limits that servers name. It is empty if the request has the
+	// same digest.
+	Limits       []ServerLimit `msgpack:",omitempty"`
+	LimitsDigest uint64        `msgpack:",omitempty"`
 }
 
 // Observation summarizes one dock's requests to one server during an interval.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,6 +21,8 @@
 	// isRepeat is set if the attempt was sent after an equal request was known to have crashed a
 	// server.
 	isRepeat bool
+	// needsToken is set if the server names a limit and the query holds no token for it.
+	needsToken bool
 	// index is the attempt's index in the job's trace.
 	index int
 	// typicalLatency is the median latency of the route's requests at a single server, or zero
@@ -84,6 +86,11 @@
 		ID:          a.target.ID,
 		Connections: f.selector.Connections(a.job.service),
 	}
+	if a.needsToken && !f.tokens.acquireOne(q.ctx, a.target.ID) {
+		f.reporter.countAttempt(a.job.service, AttemptDenied)
+		a.deliver(attemptResult{attempt: a, outcome: AttemptDenied})
+		return
+	}
 	start := f.clock.Now()
 	flight := f.selector.Begin(start, a.target.ID, a.typicalLatency)
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
@@ -100,13 +107,19 @@
 		f.reporter.countAttempt(a.job.service, r.outcome)
 	}
 	f.onObserved()
+	a.deliver(r)
+	if r.outcome == AttemptLost {
+		a.confirmCrash(destination)
+	}
+}
+
+// deliver passes the result to the query unless that has finished.
+func (a *attempt) deliver(r attemptResult) {
+	q := a.job.query
 	select {
 	case q.results <- r:
 	case <-q.finished:
 	}
-	if r.outcome == AttemptLost {
-		a.confirmCrash(destination)
-	}
 }
 
 // classify returns the outcome of the attempt.
@@ -142,7 +155,7 @@
 		f.selector.Lost(now, flight, true)
 	case AttemptLost:
 		f.selector.Lost(now, flight, false)
-	case AttemptRunning, AttemptCancelled:
+	case AttemptRunning, AttemptDenied, AttemptCancelled:
 		f.selector.Cancelled(now, flight)
 	}
 }
@@ -153,13 +166,17 @@
 	if reply.IsWrongServer {
 		return
 	}
+	isNew := false
 	switch reply.LimitState {
 	case sender.LimitNamed:
-		f.selector.ObserveLimit(now, flight, reply.Limit)
+		isNew = f.selector.ObserveLimit(now, flight, reply.Limit)
 	case sender.LimitAbsent:
-		f.selector.ObserveNoLimit(flight)
+		isNew = f.selector.ObserveNoLimit(flight)
 	case sender.LimitUnreadable:
 	}
+	if isNew {
+		f.tokens.reportLimits()
+	}
 }
 
 // reportedLoad returns the load that a server reported in its reply, or nil if it reported none.
--- a/internal/forwarder/attemptoutcome_enumer.go
+++ b/internal/forwarder/attemptoutcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _AttemptOutcomeName = "runningansweredfailednot_runnot_sentlostcancelled"
+const _AttemptOutcomeName = "runningansweredfailednot_runnot_sentdeniedlostcancelled"
 
-var _AttemptOutcomeIndex = [...]uint8{0, 7, 15, 21, 28, 36, 40, 49}
+var _AttemptOutcomeIndex = [...]uint8{0, 7, 15, 21, 28, 36, 42, 46, 55}
 
-const _AttemptOutcomeLowerName = "runningansweredfailednot_runnot_sentlostcancelled"
+const _AttemptOutcomeLowerName = "runningansweredfailednot_runnot_sentdeniedlostcancelled"
 
 func (i AttemptOutcome) String() string {
 	if i >= AttemptOutcome(len(_AttemptOutcomeIndex)-1) {
@@ -24,16 +24,17 @@
 // Re-run the stringer command to generate them again.
 func _AttemptOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[AttemptRunning-0]
-	_ = x[AttemptAnswered-1]
-	_ = x[AttemptFailed-2]
-	_ = x[AttemptNotRun-3]
-	_ = x[AttemptNotSent-4]
-	_ = x[AttemptLost-5]
-	_ = x[AttemptCancelled-6]
+	_ = x[AttemptRunning-(0)]
+	_ = x[AttemptAnswered-(1)]
+	_ = x[AttemptFailed-(2)]
+	_ = x[AttemptNotRun-(3)]
+	_ = x[AttemptNotSent-(4)]
+	_ = x[AttemptDenied-(5)]
+	_ = x[AttemptLost-(6)]
+	_ = x[AttemptCancelled-(7)]
 }
 
-var _AttemptOutcomeValues = []AttemptOutcome{AttemptRunning, AttemptAnswered, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptLost, AttemptCancelled}
+var _AttemptOutcomeValues = []AttemptOutcome{AttemptRunning, AttemptAnswered, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptLost, AttemptCancelled}
 
 var _AttemptOutcomeNameToValueMap = map[string]AttemptOutcome{
 	_AttemptOutcomeName[0:7]:   AttemptRunning,
@@ -41,8 +42,9 @@
 	_AttemptOutcomeName[15:21]: AttemptFailed,
 	_AttemptOutcomeName[21:28]: AttemptNotRun,
 	_AttemptOutcomeName[28:36]: AttemptNotSent,
-	_AttemptOutcomeName[36:40]: AttemptLost,
-	_AttemptOutcomeName[40:49]: AttemptCancelled,
+	_AttemptOutcomeName[36:42]: AttemptDenied,
+	_AttemptOutcomeName[42:46]: AttemptLost,
+	_AttemptOutcomeName[46:55]: AttemptCancelled,
 }
 
 var _AttemptOutcomeLowerNameToValueMap = map[string]AttemptOutcome{
@@ -51,8 +53,9 @@
 	_AttemptOutcomeLowerName[15:21]: AttemptFailed,
 	_AttemptOutcomeLowerName[21:28]: AttemptNotRun,
 	_AttemptOutcomeLowerName[28:36]: AttemptNotSent,
-	_AttemptOutcomeLowerName[36:40]: AttemptLost,
-	_AttemptOutcomeLowerName[40:49]: AttemptCancelled,
+	_AttemptOutcomeLowerName[36:42]: AttemptDenied,
+	_AttemptOutcomeLowerName[42:46]: AttemptLost,
+	_AttemptOutcomeLowerName[46:55]: AttemptCancelled,
 }
 
 var _AttemptOutcomeNames = []string{
@@ -61,8 +64,9 @@
 	_AttemptOutcomeName[15:21],
 	_AttemptOutcomeName[21:28],
 	_AttemptOutcomeName[28:36],
-	_AttemptOutcomeName[36:40],
-	_AttemptOutcomeName[40:49],
+	_AttemptOutcomeName[36:42],
+	_AttemptOutcomeName[42:46],
+	_AttemptOutcomeName[46:55],
 }
 
 // AttemptOutcomeString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -148,6 +148,7 @@
 		detach:              func() bool { return true },
 
 		fingerprints: fingerprints{whole: r.Fingerprint, path: r.PathFingerprint},
+		tokens:       map[identifier.ServiceName]encoder.ServerID{},
 	}
 	q.ctx, q.cancel = context.WithDeadline(f.ctx, q.deadline)
 	b := &batch{
@@ -164,6 +165,9 @@
 	}
 	for i, s := range r.Services {
 		b.index[s] = i
+		if i < len(r.Tokens) && r.Tokens[i] != "" {
+			q.tokens[s] = r.Tokens[i]
+		}
 	}
 	return b
 }
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -39,6 +39,8 @@
 	query    *query
 	dock     encoder.Dock
 	services []identifier.ServiceName
+	// tokens holds the servers for which the query had tokens. It is empty or as long as services.
+	tokens []encoder.ServerID
 	// id is the query's number in the messages to the owner.
 	id uint64
 	// silenceDeadline is when the owner counts as silent unless it has replied.
@@ -113,6 +115,7 @@
 	for i := range g.Services {
 		d.pending[i] = true
 	}
+	d.tokens = q.takeTokens(g.Services)
 	return d
 }
 
@@ -132,6 +135,7 @@
 		Head:          q.prepared.Head,
 		Body:          q.prepared.Body,
 		Services:      d.services,
+		Tokens:        d.tokens,
 		Rows:          q.rowLimit(),
 		Attempts:      q.route.Attempts,
 		Remaining:     q.deadline.Sub(now),
@@ -251,6 +255,7 @@
 	case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
 		// The owner did not accept the request, so nothing has run.
 		d.isOver, d.ownerFailure = true, ownerFailureRefused
+		q.returnTokens(d.services, d.tokens)
 		return q.start(d.services)
 	default:
 		d.ownerFailure = ownerFailureLost
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,10 @@
 
 func (testProtocol) ParseMetadata(_ int, header http.Header) sender.ReplyMetadata {
 	f := sender.ReplyMetadata{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	if limit := header.Get("Limit"); limit != "" {
+		f.LimitState = sender.LimitNamed
+		f.Limit, _ = strconv.ParseFloat(limit, 64)
+	}
 	if header.Get("Queue") == "full" {
 		f.HasLoad, f.Running, f.Waiting, f.Slots = true, 2, 20, 2
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -99,6 +99,8 @@
 	// owners assigns the shards to the docks that send to them.
 	owners       *owners
 	crashTracker *crashTracker
+	// tokens permit requests to servers that name limits.
+	tokens *tokens
 
 	// Guarded by mutex.
 	mutex       sync.Mutex
@@ -124,7 +126,7 @@
 	serverSelector := selector.New(settings.Domain, settings.Budget, settings.Seed)
 	serverSelector.OnServerEvent((&serverLogger{log}).logChange)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Forwarder{
+	f := &Forwarder{
 		ctx:              ctx,
 		cancel:           cancel,
 		clock:            clock,
@@ -141,6 +143,8 @@
 		crashTracker:     newCrashTracker(),
 		owners:           &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspectedUntil: map[netip.AddrPort]time.Time{}},
 	}
+	f.tokens = &tokens{forwarder: f}
+	return f
 }
 
 // OnObserved sets the function that is called when there are new observations of servers. The
@@ -227,6 +231,11 @@
 	f.selector.SetSlowServers(slowServers)
 }
 
+// MergeLimits adds what other docks know of the limits that servers name.
+func (f *Forwarder) MergeLimits(limits []encoder.ServerLimit) {
+	f.selector.MergeLimits(f.clock.Now(), limits)
+}
+
 // Stats returns the selector's current figures for metrics.
 func (f *Forwarder) Stats() selector.Stats { return f.selector.Stats() }
 
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -57,7 +57,7 @@
 	case AttemptLost:
 		i.hasLostRepeat = i.hasLostRepeat || (i.isActive() && r.attempt.isRepeat)
 		i.hasLost = true
-	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptCancelled:
+	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptCancelled:
 	}
 }
 
@@ -68,7 +68,11 @@
 	f := q.forwarder
 	now := f.clock.Now()
 	if f.crashTracker.quarantineRemaining(now, q.fingerprints) > 0 {
-		return q.failServices(services)
+		return q.failServices(services, ReasonLost)
+	}
+	services, o := q.acquireTokens(services)
+	if o != nil {
+		return o
 	}
 	wait := f.latency(q.route.Name).High()
 	if wait <= 0 {
@@ -97,7 +101,7 @@
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
 		i.held = nil
-		return q.failServices(held)
+		return q.failServices(held, ReasonLost)
 	}
 	if i.waiting == 0 {
 		return nil
@@ -122,9 +126,9 @@
 
 // failServices ends services without sending them the request. It returns the outcome, or nil if the
 // query goes on.
-func (q *query) failServices(services []identifier.ServiceName) Outcome {
+func (q *query) failServices(services []identifier.ServiceName, reason Reason) Outcome {
 	for _, s := range services {
-		if o := q.collector.addResult(result{service: s, reason: ReasonLost}); o != nil {
+		if o := q.collector.addResult(result{service: s, reason: reason}); o != nil {
 			return o
 		}
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -147,9 +147,9 @@
 // the attempt is a hedge and the server is busy.
 func (j *job) startAttempt(now time.Time, cause Cause, isBudgeted bool) bool {
 	f := j.query.forwarder
-	target, ok := f.selector.Choose(now, j.service, j.tried)
+	target, hasToken, ok := j.choose(now)
 	if !ok {
-		j.trace.denied = ReasonNoServer
+		j.trace.denied = j.missingServerReason(now)
 		return false
 	}
 	if cause == CauseHedge && target.IsBusy {
@@ -165,10 +165,32 @@
 	j.inFlight++
 	isRepeat := j.query.isolation.begin()
 	index := j.trace.begin(cause, target, now.Sub(j.query.request.Arrived))
-	f.dispatch(&attempt{job: j, target: target, isBudgeted: isBudgeted, isRepeat: isRepeat, index: index, typicalLatency: j.latency.Median()})
+	f.dispatch(&attempt{job: j, target: target, isBudgeted: isBudgeted, isRepeat: isRepeat, needsToken: target.IsLimited && !hasToken, index: index, typicalLatency: j.latency.Median()})
 	return true
 }
 
+// choose returns the server for the next attempt: the one that the query has a token for, or the best
+// one that was not tried yet.
+func (j *job) choose(now time.Time) (target selector.Target, hasToken, ok bool) {
+	s := j.query.forwarder.selector
+	if id := j.query.tokens[j.service]; id != "" {
+		delete(j.query.tokens, j.service)
+		if target, ok := s.Find(now, j.service, id); ok {
+			return target, true, true
+		}
+	}
+	target, ok = s.Choose(now, j.service, j.tried)
+	return target, false, ok
+}
+
+// missingServerReason returns why there is no server for an attempt.
+func (j *job) missingServerReason(now time.Time) Reason {
+	if j.query.forwarder.selector.IsLimited(now, j.service) {
+		return ReasonLimited
+	}
+	return ReasonNoServer
+}
+
 // handleResult processes the result of an attempt: the job ends, retries, or waits for other
 // attempts. It returns the job's result and true when the job ends.
 func (j *job) handleResult(now time.Time, r attemptResult) (result, bool) {
@@ -200,6 +222,17 @@
 		if r.attempt.isBudgeted {
 			j.query.forwarder.selector.ReturnRepeat(now, j.service)
 		}
+	case AttemptDenied:
+		j.runs--
+		j.sends--
+		j.reason = ReasonLimited
+		if r.attempt.isBudgeted {
+			j.query.forwarder.selector.ReturnRepeat(now, j.service)
+		}
+		if j.inFlight > 0 {
+			return result{}, false
+		}
+		isBudgetExempt = !r.attempt.isBudgeted
 	default:
 		j.reason = ReasonLost
 	}
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -35,6 +35,8 @@
 	ReasonTimeout
 	// ReasonQuarantined means that requests with this fingerprint crashed servers.
 	ReasonQuarantined
+	// ReasonLimited means that the servers have named limits that do not permit the request now.
+	ReasonLimited
 	// ReasonCallerLeft means that the caller no longer waits for the answer.
 	ReasonCallerLeft
 )
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/sender"
@@ -64,6 +65,9 @@
 	// server has answered the request.
 	isolation   isolation
 	wasAnswered atomic.Bool
+	// tokens holds the server of each service for which the query has an unused token of the server's
+	// limit.
+	tokens map[identifier.ServiceName]encoder.ServerID
 	// results receives the results of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -239,7 +243,7 @@
 	}
 	for _, j := range q.jobs[firstNew:] {
 		if j.isOver {
-			if o := q.collector.addResult(result{service: j.service, reason: ReasonNoServer}); o != nil {
+			if o := q.collector.addResult(result{service: j.service, reason: j.trace.denied}); o != nil {
 				return o
 			}
 		}
@@ -329,6 +333,8 @@
 		return Answer{Reply: *r.reply}
 	case r.hasRun:
 		return Failed{Reason: r.reason}
+	case r.reason == ReasonLimited:
+		return c.query.refuseLimited([]identifier.ServiceName{r.service}, 0)
 	default:
 		return Refused{After: c.query.forwarder.retryAfter(), Reason: r.reason}
 	}
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedcaller_left"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedcaller_left"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 92}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 99}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedcaller_left"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedcaller_left"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -24,20 +24,21 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[ReasonNone-0]
-	_ = x[ReasonNoConfiguration-1]
-	_ = x[ReasonNoServer-2]
-	_ = x[ReasonNotRun-3]
-	_ = x[ReasonBudget-4]
-	_ = x[ReasonCongested-5]
-	_ = x[ReasonLost-6]
-	_ = x[ReasonCoverage-7]
-	_ = x[ReasonTimeout-8]
-	_ = x[ReasonQuarantined-9]
-	_ = x[ReasonCallerLeft-10]
+	_ = x[ReasonNone-(0)]
+	_ = x[ReasonNoConfiguration-(1)]
+	_ = x[ReasonNoServer-(2)]
+	_ = x[ReasonNotRun-(3)]
+	_ = x[ReasonBudget-(4)]
+	_ = x[ReasonCongested-(5)]
+	_ = x[ReasonLost-(6)]
+	_ = x[ReasonCoverage-(7)]
+	_ = x[ReasonTimeout-(8)]
+	_ = x[ReasonQuarantined-(9)]
+	_ = x[ReasonLimited-(10)]
+	_ = x[ReasonCallerLeft-(11)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonCallerLeft}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonCallerLeft}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
@@ -50,7 +51,8 @@
 	_ReasonName[55:63]: ReasonCoverage,
 	_ReasonName[63:70]: ReasonTimeout,
 	_ReasonName[70:81]: ReasonQuarantined,
-	_ReasonName[81:92]: ReasonCallerLeft,
+	_ReasonName[81:88]: ReasonLimited,
+	_ReasonName[88:99]: ReasonCallerLeft,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -64,7 +66,8 @@
 	_ReasonLowerName[55:63]: ReasonCoverage,
 	_ReasonLowerName[63:70]: ReasonTimeout,
 	_ReasonLowerName[70:81]: ReasonQuarantined,
-	_ReasonLowerName[81:92]: ReasonCallerLeft,
+	_ReasonLowerName[81:88]: ReasonLimited,
+	_ReasonLowerName[88:99]: ReasonCallerLeft,
 }
 
 var _ReasonNames = []string{
@@ -78,7 +81,8 @@
 	_ReasonName[55:63],
 	_ReasonName[63:70],
 	_ReasonName[70:81],
-	_ReasonName[81:92],
+	_ReasonName[81:88],
+	_ReasonName[88:99],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -42,6 +42,9 @@
 	AttemptNotRun
 	// AttemptNotSent means that no byte was sent to the server.
 	AttemptNotSent
+	// AttemptDenied means that nothing was sent to the server, because it names a limit and there was
+	// no token.
+	AttemptDenied
 	// AttemptLost means that the request was sent but no reply was received.
 	AttemptLost
 	// AttemptCancelled means that the query's context ended before the reply was received.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -3,7 +3,11 @@
 // server. It performs no I/O.
 package limiter
 
-import "time"
+import (
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+)
 
 // Statement is what a server last said of the requests that it takes from all docks together. The
 // zero Statement means that the server never named a limit.
@@ -30,3 +34,8 @@
 func (s Statement) SaysSame(other Statement) bool {
 	return s.IsNamed == other.IsNamed && s.Rate == other.Rate
 }
+
+// Message returns the statement on one start of a server as a message.
+func (s Statement) Message(now time.Time, server encoder.ServerID, born int64) encoder.ServerLimit {
+	return encoder.ServerLimit{Server: server, Born: born, IsNamed: s.IsNamed, Rate: s.Rate, Age: now.Sub(s.At)}
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -26,6 +26,8 @@
 	// all docks together, and EventServerUnlimited that it no longer does.
 	EventServerLimited   = "server limited"
 	EventServerUnlimited = "server no longer limited"
+	// EventTokensFailed reports that the leading keeper did not answer a dock's request for tokens.
+	EventTokensFailed = "tokens not received"
 	// EventServerDeparts reports that a backend server announced that it leaves or has left.
 	EventServerDeparts = "server departs"
 	// EventDepartureNotForwarded reports that a keeper failed to forward a departure to another
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -108,6 +108,7 @@
 		return nil, d.closeAfterError(err)
 	}
 	d.watcher = watcher.New(d.self(), settings.LinkSeeds(), d.pool, compile(adapter.Compile), d.forwarder, p.Clock, p.Log)
+	d.forwarder.SetTokenIssuer(d.watcher)
 	d.forwarder.OnObserved(d.watcher.ScheduleObservations)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.checkReadiness)
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -188,6 +188,13 @@
 		k.broadcaster.ReportCrashes(peer.Incarnation, r)
 		return encoder.CrashReportReply{}, nil
 	})
+	linker.Handle(mux, encoder.KindTokens, func(_ context.Context, _ linker.Peer, r encoder.TokenRequest) (encoder.TokenReply, error) {
+		reply, ok := k.broadcaster.IssueTokens(r)
+		if !ok {
+			return reply, errNotLeader
+		}
+		return reply, nil
+	})
 	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
 		k.broadcaster.MergeDeparture(r)
 		return encoder.DepartReply{}, nil
--- a/internal/routekeeperrunner/runner.go
+++ b/internal/routekeeperrunner/runner.go
@@ -24,6 +24,8 @@
 	errStorage = eris.New("storage failed")
 	// errRemoved reports that another member has replaced this one in the group.
 	errRemoved = eris.New("removed from the group")
+	// errNotLeader rejects a request that only the leader may handle.
+	errNotLeader = eris.New("this keeper does not lead")
 	// errNoLeader is the readiness error of a keeper without a known leader.
 	errNoLeader = eris.New("no leader is known")
 )
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -57,6 +57,8 @@
 	// slowServers holds the servers that the docks together found slow, with their latencies as
 	// multiples of the usual.
 	slowServers map[encoder.ServerID]float64
+	// earlyLimits are the limits of servers that are not known yet.
+	earlyLimits map[encoder.ServerID]earlyLimit
 	// observations holds what was observed since the last call of TakeObservations.
 	observations map[encoder.ServerID]*encoder.Observation
 }
@@ -77,6 +79,7 @@
 		docks:         1,
 
 		connections:  map[identifier.ServiceName]int{},
+		earlyLimits:  map[encoder.ServerID]earlyLimit{},
 		observations: map[encoder.ServerID]*encoder.Observation{},
 	}
 }
@@ -103,6 +106,7 @@
 	}
 	s.reportServerChanges(s.servers, kept)
 	s.servers = kept
+	s.applyEarlyLimits()
 	maps.DeleteFunc(s.subsets, func(name identifier.ServiceName, _ []*server) bool {
 		_, ok := s.services[name]
 		return !ok
@@ -141,6 +145,8 @@
 	// Seen is the time since the server was last observed. It is negative if the server was never
 	// observed.
 	Seen time.Duration
+	// IsLimited is set if the server names a limit, so that a request to it needs a token.
+	IsLimited bool
 	// IsBusy is set if so many requests wait at the server that a hedge would only delay others.
 	IsBusy bool
 }
@@ -157,14 +163,14 @@
 	return false
 }
 
-// Choose returns the server of a service with the lowest score, leaving out the excluded ones. It
-// returns false if there is none.
+// Choose returns the server of a service with the lowest score, leaving out the excluded ones and
+// those that lack a token of their limit. It returns false if there is none.
 func (s *Selector) Choose(now time.Time, service identifier.ServiceName, excluded []encoder.ServerID) (Target, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	best, bestScore := (*server)(nil), math.Inf(1)
 	for _, v := range s.services[service] {
-		if slices.Contains(excluded, v.info.ID) {
+		if slices.Contains(excluded, v.info.ID) || v.lacksToken(now) {
 			continue
 		}
 		score := v.score(now, s.slowServers[v.info.ID]) * (1 + jitter*s.random.Float64())
@@ -181,12 +187,30 @@
 	if best == nil {
 		return Target{}, false
 	}
+	return best.target(now, bestScore), true
+}
+
+// Find returns a server of a service by its ID. It returns false if there is none.
+func (s *Selector) Find(now time.Time, service identifier.ServiceName, id encoder.ServerID) (Target, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, v := range s.services[service] {
+		if v.info.ID == id {
+			return v.target(now, v.score(now, s.slowServers[id])), true
+		}
+	}
+	return Target{}, false
+}
+
+// target returns the server as the target of a request.
+func (v *server) target(now time.Time, score float64) Target {
 	return Target{
-		ID:      best.info.ID,
-		Address: best.info.Address,
-		Domain:  best.info.Domain,
-		Score:   bestScore,
-		Seen:    best.age(now),
-		IsBusy:  best.queue(now) >= busyQueue,
-	}, true
+		ID:        v.info.ID,
+		Address:   v.info.Address,
+		Domain:    v.info.Domain,
+		Score:     score,
+		Seen:      v.age(now),
+		IsLimited: v.limit.IsNamed,
+		IsBusy:    v.queue(now) >= busyQueue,
+	}
 }
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -58,6 +58,14 @@
 	connectFailures int
 	// limit is what the server last said of the requests that it takes.
 	limit limiter.Statement
+	// isLimitUnreported is set while the leading keeper has not been told of the limit. refused counts
+	// the requests that were refused because of it since the last report.
+	isLimitUnreported bool
+	refused           int
+	// tokenAt is when the server's next token is available, and backlog the time that it needs for the
+	// requests that were refused lately.
+	tokenAt time.Time
+	backlog time.Duration
 	// isOutsideSubset is set for servers to which this host does not plan to hold connections.
 	isOutsideSubset bool
 }
--- a/internal/selector/throttle.go
+++ b/internal/selector/throttle.go
@@ -111,13 +111,17 @@
 }
 
 // shortestQueue returns the smallest number of waiting requests per slot among a service's servers,
-// or zero if there are none. The caller holds the lock.
+// or zero if there are none. Servers that name a limit do not count, because they take only few of the
+// requests however short their queues are. The caller holds the lock.
 func (s *Selector) shortestQueue(now time.Time, service identifier.ServiceName) float64 {
-	shortest := 0.0
-	for i, v := range s.services[service] {
+	shortest, isFirst := 0.0, true
+	for _, v := range s.services[service] {
+		if v.limit.IsNamed {
+			continue
+		}
 		queue := v.queue(now)
-		if i == 0 || queue < shortest {
-			shortest = queue
+		if isFirst || queue < shortest {
+			shortest, isFirst = queue, false
 		}
 	}
 	return shortest
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -71,6 +71,7 @@
 		FellowsDigest:  w.domainDocksDigest,
 
 		QuarantinesDigest: k.quarantinesDigest,
+		LimitsDigest:      w.limitsDigest,
 
 		Wait: watchWait,
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -64,6 +64,8 @@
 	SetQuarantines(quarantines []encoder.Quarantine)
 	// SetSlowServers replaces the list of servers that most docks observe as slow.
 	SetSlowServers(slowServers []encoder.SlowServer)
+	// MergeLimits adds what the docks know of the limits that servers name.
+	MergeLimits(limits []encoder.ServerLimit)
 }
 
 // Watcher watches the keepers. It is safe for concurrent use.
@@ -94,8 +96,10 @@
 	catalog       *locator.Catalog
 	configuration uint64
 	membersDigest uint64
-	// slowServersDigest, domainDocksDigest and leader come from the latest reply of a leader.
+	// slowServersDigest, limitsDigest, domainDocksDigest and leader come from the latest reply of a
+	// leader.
 	slowServersDigest uint64
+	limitsDigest      uint64
 	domainDocksDigest uint64
 	leader            netip.AddrPort
 	voters            int
@@ -295,6 +299,10 @@
 		w.slowServersDigest = reply.VerdictsDigest
 		w.sink.SetSlowServers(reply.Verdicts)
 	}
+	if reply.IsLeader && reply.LimitsDigest != w.limitsDigest {
+		w.limitsDigest = reply.LimitsDigest
+		w.sink.MergeLimits(reply.Limits)
+	}
 	if reply.QuarantinesDigest != k.quarantinesDigest {
 		k.quarantinesDigest = reply.QuarantinesDigest
 		w.sink.SetQuarantines(reply.Quarantines)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -182,6 +182,8 @@
 	return observations
 }
 
+func (d *dock) MergeLimits([]encoder.ServerLimit) {}
+
 func (d *dock) SetSlowServers(slowServers []encoder.SlowServer) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
