--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -237,7 +237,7 @@
 }
 
 // Stats returns the selector's current figures for metrics.
-func (f *Forwarder) Stats() selector.Stats { return f.selector.Stats() }
+func (f *Forwarder) Stats() selector.Stats { return f.selector.Stats(f.clock.Now()) }
 
 // LeastAdmitted returns the lowest admitted share over all routes, from 0 to 1. It is 1 before the
 // first request.
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -144,6 +144,9 @@
 	m.Computed("selector.slow_servers", measurer.Count, "Backend servers that most docks find slow.", func() int64 {
 		return int64(d.forwarder.Stats().Slow)
 	})
+	m.Computed("selector.unreachable_servers", measurer.Count, "Backend servers to which this dock could not open connections lately.", func() int64 {
+		return int64(d.forwarder.Stats().Unreachable)
+	})
 	m.Computed("selector.limited_servers", measurer.Count, "Backend servers that name a limit of the requests that they take.", func() int64 {
 		return int64(d.forwarder.Stats().Limited)
 	})
--- a/internal/selector/stats.go
+++ b/internal/selector/stats.go
@@ -1,11 +1,15 @@
 package selector
 
+import "time"
+
 // Stats summarizes the state of a Selector for metrics.
 type Stats struct {
 	// Servers is the number of servers that may receive requests, and Slow the number of servers
 	// that the docks together found slow.
 	Servers int
 	Slow    int
+	// Unreachable is the number of servers to which no connection could be opened lately.
+	Unreachable int
 	// Limited is the number of servers that name a limit.
 	Limited int
 	// Repeats is the smallest number of repeats left in any service's budget, or a full burst if no
@@ -14,7 +18,7 @@
 }
 
 // Stats returns a summary of the current state.
-func (s *Selector) Stats() Stats {
+func (s *Selector) Stats(now time.Time) Stats {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	stats := Stats{Servers: len(s.servers), Slow: len(s.slowServers), Repeats: s.allowance("").burst}
@@ -22,6 +26,9 @@
 		if v.limit.IsNamed {
 			stats.Limited++
 		}
+		if v.isUnreachable(now) {
+			stats.Unreachable++
+		}
 	}
 	for _, b := range s.budgets {
 		stats.Repeats = min(stats.Repeats, b.tokens)
