Reproduce docks without servers whose callers are served far worse

Five docks, three of which lose their links to all servers: silent, reset, or refusing new connections. The sender gets an option for the function that opens connections, so that tests can cut a dock's links.

--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -125,7 +125,7 @@
 		t: t, servers: map[encoder.ServerID]*fakeServer{}, services: map[identifier.ServiceName][]locator.Server{},
 		log: &strings.Builder{},
 	}
-	d.sender = sender.New(testProtocol{}, timekeeper.System{}, metrics.NewRegistry())
+	d.sender = newTestSender()
 	d.forwarder = d.newForwarder(forwarder.Settings{Domain: "one", Budget: budget, Seed: 1})
 	t.Cleanup(func() {
 		for _, s := range d.servers {
@@ -140,9 +140,19 @@
 	return d
 }
 
+// newTestSender returns a sender that speaks testProtocol.
+func newTestSender(options ...sender.Option) *sender.Sender {
+	return sender.New(testProtocol{}, timekeeper.System{}, metrics.NewRegistry(), options...)
+}
+
 // newForwarder returns a forwarder that uses the deployment's sender and log.
 func (d *deployment) newForwarder(s forwarder.Settings) *forwarder.Forwarder {
-	return forwarder.New(s, d.sender, timekeeper.System{}, zerolog.New(d), measurer.New())
+	return d.newForwarderWith(s, d.sender)
+}
+
+// newForwarderWith returns a forwarder that uses a sender and the deployment's log.
+func (d *deployment) newForwarderWith(s forwarder.Settings, with *sender.Sender) *forwarder.Forwarder {
+	return forwarder.New(s, with, timekeeper.System{}, zerolog.New(d), measurer.New())
 }
 
 // addServer starts and registers a server of a service.
--- /dev/null
+++ b/internal/forwarder/detached_test.go
@@ -0,0 +1,155 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/sender"
+)
+
+const (
+	// detachedDocks is the number of docks, of which those below cutDocks lose their links to servers.
+	detachedDocks = 5
+	cutDocks      = 3
+	// settleTime is how long a dock may take to handle the loss of its links: half of the users'
+	// stability window.
+	settleTime = 2 * time.Second
+	// callInterval is the time between two requests to one dock.
+	callInterval = 50 * time.Millisecond
+)
+
+// detachment is several docks, each with its own links to the same servers.
+type detachment struct {
+	*deployment
+	docks []*forwarder.Forwarder
+	links []*links
+}
+
+// newDetachment starts servers for some shards and a single service, and the docks.
+func newDetachment(t *testing.T, shards int) *detachment {
+	t.Helper()
+	d := &detachment{deployment: newDeployment(t, ampleBudget)}
+	d.addShards(shards, nil)
+	d.addServer("plates", "plate-1", answers("plate"))
+	d.addServer("plates", "plate-2", answers("plate"))
+	for i := range detachedDocks {
+		s, l := newLinkedSender()
+		f := d.newForwarderWith(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: uint64(i), Host: detachedHost(i)}, s)
+		t.Cleanup(func() {
+			l.set(linkReset)
+			f.Close()
+			s.Close()
+		})
+		f.UpdateServers(d.services)
+		d.configure(f, shards)
+		d.docks, d.links = append(d.docks, f), append(d.links, l)
+	}
+	return d
+}
+
+// detachedHost returns the name of a dock.
+func detachedHost(i int) identifier.HostName { return identifier.HostName(fmt.Sprintf("dock-%d", i)) }
+
+
+// configure puts a configuration in force with a route to all shards and one to the single service.
+func (d *detachment) configure(f *forwarder.Forwarder, shards int) {
+	all := scatterRoute(shards, 3, 0.9, 100*time.Millisecond)
+	all.Name, all.Host, all.Prefix, all.Timeout, all.Attempts = "all", "a.example", "/all/", time.Second, 2
+	one := matcher.Route{Name: "one", Host: "a.example", Prefix: "/one/", Destination: toPlates, Timeout: time.Second, Attempts: 2, LatencyTarget: 100 * time.Millisecond}
+	c := matcher.Configuration{Number: 1, Routes: []matcher.Route{all, one}}
+	for _, s := range append(services(shards), "plates") {
+		c.Services = append(c.Services, matcher.Service{Name: s, Connections: 50})
+	}
+	table, err := matcher.Compile(c)
+	assert.NilError(d.t, err)
+	f.Configure(table)
+}
+
+// call sends a request to a dock and reports whether it was answered completely.
+func (d *detachment) call(dock int, path, id string) bool {
+	method := http.MethodGet
+	if path == "/one/" {
+		method = http.MethodPost
+	}
+	o := d.docks[dock].Handle(context.Background(), &forwarder.Request{
+		Request: sender.Request{ID: id, Method: method, Target: path, Host: "a.example", Header: http.Header{"Request": {id}}},
+		Path:    path, Arrived: time.Now(), Timeout: time.Second,
+	})
+	switch o := o.(type) {
+	case forwarder.Answer:
+		return o.Reply.Status == http.StatusOK
+	case forwarder.Gathered:
+		return o.Missing == 0
+	default:
+		return false
+	}
+}
+
+// callAll sends requests to all docks for a duration, and returns how many of each dock's were answered
+// completely, and how many it got.
+func (d *detachment) callAll(duration time.Duration) (served, sent [detachedDocks]int) {
+	var calls sync.WaitGroup
+	var mutex sync.Mutex
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(callInterval) {
+		for i := range detachedDocks {
+			path := []string{"/all/", "/one/"}[sent[i]%2]
+			sent[i]++
+			id := fmt.Sprintf("%d-%d-%d", began.UnixNano(), i, sent[i])
+			calls.Go(func() {
+				if d.call(i, path, id) {
+					mutex.Lock()
+					defer mutex.Unlock()
+					served[i]++
+				}
+			})
+		}
+	}
+	calls.Wait()
+	return served, sent
+}
+
+// share returns the share of requests that some docks served.
+func share(served, sent []int) float64 {
+	s, n := 0, 0
+	for i := range served {
+		s, n = s+served[i], n+sent[i]
+	}
+	return float64(s) / float64(n)
+}
+
+// TestCallersOfDocksWithoutServersAreServedFarWorse cuts some docks off from all servers and compares
+// the callers of these with those of the other docks.
+func TestCallersOfDocksWithoutServersAreServedFarWorse(t *testing.T) {
+	for name, state := range map[string]linkState{"silent": linkSilent, "reset": linkReset, "refusing": linkRefusing} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDetachment(t, 8)
+			served, sent := d.callAll(time.Second)
+			assert.Assert(t, share(served[:], sent[:]) > 0.95, "%v of %v", served, sent)
+			for i := range cutDocks {
+				d.links[i].set(state)
+			}
+			d.callAll(settleTime)
+			served, sent = d.callAll(2 * time.Second)
+			cut, others := share(served[:cutDocks], sent[:cutDocks]), share(served[cutDocks:], sent[cutDocks:])
+			t.Logf("served %v of %v", served, sent)
+			assert.Check(t, others > 0.95, "the other docks serve %.2f", others)
+			assert.Check(t, cut > 0.95, "the docks without links serve %.2f", cut)
+			for i := range cutDocks {
+				d.links[i].set(linkUp)
+			}
+			d.callAll(settleTime)
+			served, sent = d.callAll(time.Second)
+			assert.Check(t, share(served[:], sent[:]) > 0.95, "after the cut %v of %v", served, sent)
+		})
+	}
+}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -95,7 +95,7 @@
 
 // dial opens a connection that is already counted as open.
 func (p *pool) dial(ctx context.Context) (*connection, error) {
-	socket, err := p.sender.dialer.DialContext(ctx, "tcp", p.address.String())
+	socket, err := p.sender.open(ctx, p.address)
 	if err != nil {
 		p.release(nil, false)
 		return nil, err
@@ -156,7 +156,7 @@
 // allows it.
 func (p *pool) probe(ctx context.Context, to Destination) error {
 	if !p.reserveWarm(to, to.Connections) {
-		socket, err := p.sender.dialer.DialContext(ctx, "tcp", p.address.String())
+		socket, err := p.sender.open(ctx, p.address)
 		if err != nil {
 			return err
 		}
@@ -217,7 +217,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	socket, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -161,7 +161,7 @@
 	// Set at creation.
 	clock          timekeeper.Clock
 	protocol       Protocol
-	dialer         net.Dialer
+	dial           Dial
 	opened         metrics.Counter
 	foreignReplies metrics.Counter
 
@@ -171,20 +171,41 @@
 	pools    map[netip.AddrPort]*pool
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does. The connection must implement
+// syscall.Conn.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Sender.
+type Option func(*Sender)
+
+// WithDial sets the function that opens connections.
+func WithDial(dial Dial) Option { return func(s *Sender) { s.dial = dial } }
+
 // New returns a Sender without connections.
-func New(protocol Protocol, clock timekeeper.Clock, registry metrics.Registry) *Sender {
-	return &Sender{
-		clock:    clock,
-		protocol: protocol,
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
-			Control:         setUserTimeout,
-		},
+func New(protocol Protocol, clock timekeeper.Clock, registry metrics.Registry, options ...Option) *Sender {
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		Control:         setUserTimeout,
+	}
+	s := &Sender{
+		clock:          clock,
+		protocol:       protocol,
+		dial:           dialer.DialContext,
 		opened:         metrics.GetOrRegisterCounter("sender.connections_opened", registry),
 		foreignReplies: metrics.GetOrRegisterCounter("sender.foreign_replies", registry),
 		pools:          map[netip.AddrPort]*pool{},
 	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// open opens a connection to an address within dialTimeout.
+func (s *Sender) open(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return s.dial(ctx, "tcp", address.String())
 }
 
 // Send sends a request to a server and returns its complete reply. Its errors wrap ErrNotSent or
