A dock that has lost its links to the servers hands its requests over

Cause: a dock only ever tried the servers itself, and nothing told a dock that it was the one cut off, nor the keepers that its shards need other owners.

While it is, it hands whole requests over to docks that are not, which the leading keeper lists; the keepers leave it out of the lists by which shards get owners, at once. A request that a dock has taken goes to no other one. Handing a silent dock's request to a second one was tried: requests then ran on three servers of a shard where two are allowed.

Why it works: a dock in touch with other docks reaches every server over them.

Evidence: TestCallersOfDocksWithoutServersAreServedFarWorse failed on the code before (0 of 120) and passes for links that are silent, reset or refuse new connections.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -80,7 +80,11 @@
 	changes []encoder.Registration
 	base    uint64
 	docks   *dockSet
-	wakeups wakeChannels
+	// detachedAt is when a dock was last cut off from the backend servers or no longer was, and
+	// hasDetachChanged is set until the watches were woken for it.
+	detachedAt       time.Time
+	hasDetachChanged bool
+	wakeups          wakeChannels
 	// savedChange is the number of the last change of the directory that was saved, and
 	// savedQuarantines is the digest of the quarantines that were saved last.
 	savedChange      uint64
@@ -166,6 +170,7 @@
 	now := b.clock.Now()
 	b.updateQuarantines(now)
 	b.updateLimits(now)
+	b.announceDetached()
 	slowServers := b.outlierDetector.SlowServers(now)
 	digest := slowServersDigest(slowServers)
 	if digest == b.slowServersDigest {
--- a/internal/broadcaster/docks.go
+++ b/internal/broadcaster/docks.go
@@ -11,13 +11,19 @@
 	"banyandock.example/banyandock/internal/identifier"
 )
 
-// dockTimeout is how long a dock is counted after its last watch, in addition to maxWait.
-const dockTimeout = 5 * time.Second
+const (
+	// dockTimeout is how long a dock is counted after its last watch, in addition to maxWait.
+	dockTimeout = 5 * time.Second
+	// maxRelays bounds the docks to which one dock is told to hand requests over. There are enough of
+	// them for the load to spread, and for some to remain if others are cut off too.
+	maxRelays = 32
+)
 
 // dockSet holds the docks that watch a keeper. It is not safe for concurrent use.
 type dockSet struct {
 	docks map[identifier.HostName]*watchingDock
-	// lists caches the docks of each failure domain until one of them changes.
+	// lists caches the docks of each failure domain that can reach backend servers, until one of them
+	// changes.
 	lists map[identifier.DomainName]dockList
 }
 
@@ -28,6 +34,10 @@
 	// isDisconnected is set when the dock's watch broke off. The dock is still counted until it
 	// times out.
 	isDisconnected bool
+	// isDetached is set while the dock has lost its links to all backend servers. detachVersion is the
+	// dock's version of that.
+	isDetached    bool
+	detachVersion uint64
 }
 
 // dockList holds the docks of a failure domain in the order of their host names.
@@ -80,7 +90,44 @@
 	return len(s.docks), len(seen)
 }
 
-// domainDocks returns the connected docks of a failure domain and a digest of the list.
+// setDetached records whether a dock has lost its links to all backend servers, unless a newer version
+// is known. A dock that has just started has version 0. It reports whether that is new.
+func (s *dockSet) setDetached(host identifier.HostName, version uint64, isDetached bool) (isNew bool) {
+	w := s.docks[host]
+	if w == nil || (version != 0 && version < w.detachVersion) {
+		return false
+	}
+	isNew = w.isDetached != isDetached
+	w.isDetached, w.detachVersion = isDetached, version
+	if isNew {
+		delete(s.lists, w.dock.Domain)
+	}
+	return isNew
+}
+
+// relays returns at most maxRelays docks that can reach backend servers, chosen by a hash that differs
+// among the hosts that ask, and a digest of the list.
+func (s *dockSet) relays(host identifier.HostName) ([]encoder.Dock, uint64) {
+	ranks := map[identifier.HostName]uint64{}
+	docks := []encoder.Dock{}
+	for _, w := range s.docks {
+		if w.isUsable() && w.dock.Host != host {
+			docks = append(docks, w.dock)
+			ranks[w.dock.Host] = xxhash.Sum64String(string(host) + "\x00" + string(w.dock.Host))
+		}
+	}
+	slices.SortFunc(docks, func(a, b encoder.Dock) int { return cmp.Compare(ranks[a.Host], ranks[b.Host]) })
+	docks = docks[:min(maxRelays, len(docks))]
+	return docks, docksDigest(docks)
+}
+
+// isUsable reports whether other docks may send requests to the dock.
+func (w *watchingDock) isUsable() bool {
+	return !w.isDisconnected && !w.isDetached && w.dock.Address.IsValid()
+}
+
+// domainDocks returns the connected docks of a failure domain that can reach backend servers, and a
+// digest of the list.
 func (s *dockSet) domainDocks(domain identifier.DomainName) ([]encoder.Dock, uint64) {
 	list, ok := s.lists[domain]
 	if !ok {
@@ -90,21 +137,26 @@
 	return list.docks, list.digest
 }
 
-// buildList lists the connected docks of a failure domain that have an address.
+// buildList lists the usable docks of a failure domain.
 func (s *dockSet) buildList(domain identifier.DomainName) dockList {
 	list := dockList{}
 	for _, w := range s.docks {
-		if !w.isDisconnected && w.dock.Domain == domain && w.dock.Address.IsValid() {
+		if w.isUsable() && w.dock.Domain == domain {
 			list.docks = append(list.docks, w.dock)
 		}
 	}
 	slices.SortFunc(list.docks, func(a, b encoder.Dock) int { return cmp.Compare(a.Host, b.Host) })
+	list.digest = docksDigest(list.docks)
+	return list
+}
+
+// docksDigest identifies a list of docks. It is never zero.
+func docksDigest(docks []encoder.Dock) uint64 {
 	d := xxhash.New()
-	for _, dock := range list.docks {
+	for _, dock := range docks {
 		// xxhash's Write never returns an error.
 		_, _ = d.WriteString(string(dock.Host))
 		_, _ = d.WriteString(dock.Address.String())
 	}
-	list.digest = d.Sum64() | 1
-	return list
+	return d.Sum64() | 1
 }
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -12,6 +12,7 @@
 // the requested wait is over. Changes of the directory alone are delayed by batchDelay, so that
 // others can join them.
 func (b *Broadcaster) Watch(ctx context.Context, dock identifier.HostName, request encoder.WatchRequest) encoder.WatchReply {
+	b.beginWatch(dock, request)
 	timer := b.clock.NewTimer(min(request.Wait, maxWait))
 	defer timer.Stop()
 	isDue, isBatching := false, false
@@ -41,6 +42,14 @@
 	}
 }
 
+// beginWatch records what a dock says of itself. A notice that arrives during the watch is newer.
+func (b *Broadcaster) beginWatch(dock identifier.HostName, request encoder.WatchRequest) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.docks.recordWatch(b.clock.Now(), dock, request.Dock)
+	b.setDetached(dock, request.DetachVersion, request.IsDetached)
+}
+
 // markDisconnected records that a dock's watch broke off. The dock is not listed until it watches
 // again.
 func (b *Broadcaster) markDisconnected(dock identifier.HostName) {
@@ -74,7 +83,7 @@
 	b.addDocks(&reply, request, now)
 	b.addServers(&reply, request, now)
 	switch {
-	case isUrgent(reply, request):
+	case isUrgent(reply, request), b.hasUrgentDocks(reply, request, now):
 		return reply, updateUrgent, wakeups
 	case len(reply.Servers) > 0:
 		return reply, updateDirectory, wakeups
@@ -140,6 +149,12 @@
 	reply.Servers = b.directory.All(now)
 }
 
+// hasUrgentDocks reports whether the dock's list of docks must be replaced at once, because some were
+// cut off from the backend servers or no longer are. The caller holds the lock.
+func (b *Broadcaster) hasUrgentDocks(reply encoder.WatchReply, request encoder.WatchRequest, now time.Time) bool {
+	return reply.IsLeader && reply.FellowsDigest != request.FellowsDigest && now.Sub(b.detachedAt) < detachUrgency && !b.hasDetachChanged
+}
+
 // isUrgent reports whether a reply must be sent at once. Changed members, slow servers, limits and
 // quarantines count only from the leader, so that not all keepers answer at once. The others include
 // them in their next reply.
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -95,4 +95,8 @@
 	KindCrashReport
 	// KindTokens carries a TokenRequest from a dock to the leading keeper.
 	KindTokens
+	// KindRelay carries a RelayRequest from a dock to another dock.
+	KindRelay
+	// KindDetach carries a DetachNotice from a dock to a keeper.
+	KindDetach
 )
--- a/internal/encoder/kind_enumer.go
+++ b/internal/encoder/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokens"
+const _KindName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokensrelaydetach"
 
-var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121, 133, 139}
+var _KindIndex = [...]uint8{0, 4, 15, 23, 27, 32, 38, 44, 50, 56, 65, 75, 81, 86, 91, 98, 104, 111, 117, 121, 133, 139, 144, 150}
 
-const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokens"
+const _KindLowerName = "noneshard_batchhandoverpollclaimsettlesubmitstatuseventsagreementquarantinecanarywatchfetchconfirmdepartobservegathermorecrash_reporttokensrelaydetach"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -45,9 +45,11 @@
 	_ = x[KindMore-(18)]
 	_ = x[KindCrashReport-(19)]
 	_ = x[KindTokens-(20)]
+	_ = x[KindRelay-(21)]
+	_ = x[KindDetach-(22)]
 }
 
-var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore, KindCrashReport, KindTokens}
+var _KindValues = []Kind{KindNone, KindShardBatch, KindHandover, KindPoll, KindClaim, KindSettle, KindSubmit, KindStatus, KindEvents, KindAgreement, KindQuarantine, KindCanary, KindWatch, KindFetch, KindConfirm, KindDepart, KindObserve, KindGather, KindMore, KindCrashReport, KindTokens, KindRelay, KindDetach}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:     KindNone,
@@ -71,6 +73,8 @@
 	_KindName[117:121]: KindMore,
 	_KindName[121:133]: KindCrashReport,
 	_KindName[133:139]: KindTokens,
+	_KindName[139:144]: KindRelay,
+	_KindName[144:150]: KindDetach,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -95,6 +99,8 @@
 	_KindLowerName[117:121]: KindMore,
 	_KindLowerName[121:133]: KindCrashReport,
 	_KindLowerName[133:139]: KindTokens,
+	_KindLowerName[139:144]: KindRelay,
+	_KindLowerName[144:150]: KindDetach,
 }
 
 var _KindNames = []string{
@@ -119,6 +125,8 @@
 	_KindName[117:121],
 	_KindName[121:133],
 	_KindName[133:139],
+	_KindName[139:144],
+	_KindName[144:150],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -68,7 +68,11 @@
 	QuarantinesDigest uint64
 	// LimitsDigest identifies the list of limits of servers that the dock has.
 	LimitsDigest uint64
-	Wait         time.Duration
+	// IsDetached is set if the dock has lost its links to all backend servers. DetachVersion increases
+	// with each change of it.
+	IsDetached    bool   `msgpack:",omitempty"`
+	DetachVersion uint64 `msgpack:",omitempty"`
+	Wait          time.Duration
 }
 
 // WatchReply answers a WatchRequest.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -93,6 +93,7 @@
 	}
 	start := f.clock.Now()
 	flight := f.selector.Begin(start, a.target.ID, a.typicalLatency)
+	f.detachment.sent(start, a.target.ID)
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
 	now := f.clock.Now()
 	r := attemptResult{attempt: a, elapsed: now.Sub(start), err: err}
@@ -148,12 +149,16 @@
 	}
 	switch r.outcome {
 	case AttemptAnswered:
+		f.detachment.monitor.Answered(now)
 		a.job.latency.Observe(f.selector.Answered(now, flight, false, reportedLoad(r.reply.Metadata)))
 	case AttemptFailed, AttemptNotRun:
+		f.detachment.monitor.Answered(now)
 		f.selector.Answered(now, flight, true, reportedLoad(r.reply.Metadata))
 	case AttemptNotSent:
+		f.detachment.connectionFailed(now, a.target.ID)
 		f.selector.Lost(now, flight, true)
 	case AttemptLost:
+		f.detachment.connectionFailed(now, a.target.ID)
 		f.selector.Lost(now, flight, false)
 	case AttemptRunning, AttemptDenied, AttemptCancelled:
 		f.selector.Cancelled(now, flight)
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -63,6 +63,9 @@
 // shard needs the permission to run once more, or a reply is due at a set time. It returns
 // errStopping if this dock no longer accepts requests of other docks.
 func (f *Forwarder) Gather(ctx context.Context, dock identifier.Incarnation, r encoder.GatherRequest) (encoder.GatherReply, error) {
+	if f.IsDetached() {
+		return encoder.GatherReply{}, errDetached
+	}
 	b := f.newBatch(r)
 	key := batchKey{dock: dock, query: r.Query}
 	if !f.addBatch(key, b) {
@@ -111,7 +114,7 @@
 	defer ticker.Stop()
 	for {
 		f.mutex.Lock()
-		left := len(f.batches)
+		left := len(f.batches) + f.relayedCount
 		f.mutex.Unlock()
 		if left == 0 {
 			return
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -71,9 +71,10 @@
 	s.mutex.Lock()
 	s.requests++
 	n := s.requests
+	handle := s.handle
 	s.mutex.Unlock()
 	w.Header().Set("Request", r.Header.Get("Request"))
-	s.handle(w, r, n)
+	handle(w, r, n)
 	if r.Context().Err() != nil {
 		s.mutex.Lock()
 		s.cancelled++
@@ -126,11 +127,13 @@
 		log: &strings.Builder{},
 	}
 	d.sender = newTestSender()
-	d.forwarder = d.newForwarder(forwarder.Settings{Domain: "one", Budget: budget, Seed: 1})
+	first := d.newForwarder(forwarder.Settings{Domain: "one", Budget: budget, Seed: 1})
+	d.forwarder = first
 	t.Cleanup(func() {
 		for _, s := range d.servers {
 			s.server.CloseClientConnections()
 		}
+		first.Close()
 		d.forwarder.Close()
 		d.sender.Close()
 		for _, s := range d.servers {
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/forwarder"
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/sender"
 )
@@ -43,7 +46,7 @@
 	d.addServer("plates", "plate-2", answers("plate"))
 	for i := range detachedDocks {
 		s, l := newLinkedSender()
-		f := d.newForwarderWith(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: uint64(i), Host: detachedHost(i)}, s)
+		f := d.newForwarderWith(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: uint64(i), Host: detachedHost(i), Peers: d}, s)
 		t.Cleanup(func() {
 			l.set(linkReset)
 			f.Close()
@@ -53,13 +56,46 @@
 		d.configure(f, shards)
 		d.docks, d.links = append(d.docks, f), append(d.links, l)
 	}
+	all := []encoder.Dock{}
+	for i := range detachedDocks {
+		all = append(all, encoder.Dock{Host: detachedHost(i), Domain: "one", Address: detachedAddress(i)})
+	}
+	for _, f := range d.docks {
+		f.SetDomainDocks(all)
+	}
 	return d
 }
 
+// Gather is not used, because there are too few shards for owners.
+func (d *detachment) Gather(context.Context, netip.AddrPort, encoder.GatherRequest) (encoder.GatherReply, error) {
+	return encoder.GatherReply{}, linker.ErrNotSent
+}
+
+// More is not used.
+func (d *detachment) More(context.Context, netip.AddrPort, encoder.MoreRequest) (encoder.GatherReply, error) {
+	return encoder.GatherReply{}, linker.ErrNotSent
+}
+
+// Connect does nothing.
+func (d *detachment) Connect(context.Context, netip.AddrPort) error { return nil }
+
+// Relay hands a request over to another dock.
+func (d *detachment) Relay(ctx context.Context, dock netip.AddrPort, r encoder.RelayRequest) (encoder.RelayReply, error) {
+	reply, err := d.docks[dock.Port()].HandleRelayed(ctx, r)
+	if err != nil {
+		return reply, fmt.Errorf("%w: %w", linker.ErrRemote, err)
+	}
+	return reply, nil
+}
+
+// detachedAddress returns the address of a dock. Its port is the index of the dock.
+func detachedAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i))
+}
+
 // detachedHost returns the name of a dock.
 func detachedHost(i int) identifier.HostName { return identifier.HostName(fmt.Sprintf("dock-%d", i)) }
 
-
 // configure puts a configuration in force with a route to all shards and one to the single service.
 func (d *detachment) configure(f *forwarder.Forwarder, shards int) {
 	all := scatterRoute(shards, 3, 0.9, 100*time.Millisecond)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,6 +57,8 @@
 	// Timeout is how long the caller waits, counted from Arrived. Zero means that the caller
 	// gave no timeout.
 	Timeout time.Duration
+	// isRelayed is set for a request that another dock has handed over.
+	isRelayed bool
 }
 
 // Settings are the settings of a Forwarder.
@@ -101,6 +103,9 @@
 	crashTracker *crashTracker
 	// tokens permit requests to servers that name limits.
 	tokens *tokens
+	// detachment finds out whether this dock can reach servers, and relays holds the docks that can.
+	detachment *detachment
+	relays     *relays
 
 	// Guarded by mutex.
 	mutex       sync.Mutex
@@ -108,6 +113,8 @@
 	// batches are the queries that other docks delegated to this one.
 	batches    map[batchKey]*batch
 	isStopping bool
+	// relayedCount is the number of requests of other docks that this dock runs now.
+	relayedCount int
 }
 
 // routeState holds the statistics and balancing state of a route. It is kept when a new
@@ -121,7 +128,7 @@
 	throttle *selector.Throttle
 }
 
-// New returns a Forwarder without a configuration.
+// New returns a Forwarder without a configuration. Close must be called to stop it.
 func New(settings Settings, s *sender.Sender, clock timekeeper.Clock, log zerolog.Logger, metrics *measurer.Registry) *Forwarder {
 	serverSelector := selector.New(settings.Domain, settings.Budget, settings.Seed)
 	serverSelector.OnServerEvent((&serverLogger{log}).logChange)
@@ -144,6 +151,10 @@
 		owners:           &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspectedUntil: map[netip.AddrPort]time.Time{}},
 	}
 	f.tokens = &tokens{forwarder: f}
+	f.detachment = newDetachment(f)
+	f.relays = &relays{inFlight: map[netip.AddrPort]int{}}
+	f.tasks.Add(1)
+	go f.detachment.loop()
 	return f
 }
 
@@ -272,6 +283,11 @@
 	if table == nil {
 		return Refused{After: f.retryAfter(), Reason: ReasonNoConfiguration}
 	}
+	return f.handle(ctx, table, r)
+}
+
+// handle answers a request by a configuration.
+func (f *Forwarder) handle(ctx context.Context, table *matcher.Table, r *Request) Outcome {
 	route := table.Match(r.Host, r.Path)
 	if route == nil {
 		return NoRoute{}
--- a/internal/forwarder/network_test.go
+++ b/internal/forwarder/network_test.go
@@ -61,6 +61,7 @@
 		return nil, ctx.Err()
 	case linkReset, linkRefusing:
 		return nil, syscall.ECONNREFUSED
+	case linkUp:
 	}
 	var d net.Dialer
 	socket, err := d.DialContext(ctx, network, address)
--- a/internal/forwarder/owners.go
+++ b/internal/forwarder/owners.go
@@ -16,10 +16,11 @@
 // suspectTime is how long an owner is skipped after it failed or did not reply in time.
 const suspectTime = 2 * time.Second
 
-// Peers sends messages to other docks. The errors of Gather and More wrap those of package linker.
+// Peers sends messages to other docks. The errors of Gather, More and Relay wrap those of package linker.
 type Peers interface {
 	Gather(ctx context.Context, dock netip.AddrPort, r encoder.GatherRequest) (encoder.GatherReply, error)
 	More(ctx context.Context, dock netip.AddrPort, r encoder.MoreRequest) (encoder.GatherReply, error)
+	Relay(ctx context.Context, dock netip.AddrPort, r encoder.RelayRequest) (encoder.RelayReply, error)
 	// Connect opens the link to a dock unless it is already open.
 	Connect(ctx context.Context, dock netip.AddrPort) error
 }
@@ -100,6 +101,20 @@
 	return len(o.domainDocks)
 }
 
+// listDomainDocks returns the docks in this dock's failure domain.
+func (o *owners) listDomainDocks() []encoder.Dock {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.domainDocks
+}
+
+// isSuspect reports whether a dock failed or did not reply in time lately.
+func (o *owners) isSuspect(now time.Time, dock encoder.Dock) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return now.Before(o.suspectedUntil[dock.Address])
+}
+
 // groups returns the groups of a route, or nil if it is not delegated.
 func (o *owners) groups(route matcher.RouteName) []assigner.Group {
 	o.mutex.Lock()
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -104,6 +104,11 @@
 	return c.docks[dock.Port()].More(ctx, 1, r)
 }
 
+// Relay hands a request over to another dock.
+func (c *cluster) Relay(ctx context.Context, dock netip.AddrPort, r encoder.RelayRequest) (encoder.RelayReply, error) {
+	return c.docks[dock.Port()].HandleRelayed(ctx, r)
+}
+
 // Connect does nothing.
 func (c *cluster) Connect(context.Context, netip.AddrPort) error { return nil }
 
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -68,6 +68,8 @@
 	// tokens holds the server of each service for which the query has an unused token of the server's
 	// limit.
 	tokens map[identifier.ServiceName]encoder.ServerID
+	// relayHosts are the docks that the request was handed over to.
+	relayHosts []identifier.HostName
 	// results receives the results of attempts until finished is closed.
 	results  chan attemptResult
 	finished chan struct{}
@@ -155,10 +157,20 @@
 	if quarantineRemaining := f.crashTracker.quarantineRemaining(f.clock.Now(), q.fingerprints); quarantineRemaining > 0 {
 		return Refused{After: quarantineRemaining, Reason: ReasonQuarantined}
 	}
+	if f.IsDetached() && q.canRelay() {
+		if o := q.relay(); o != nil {
+			return o
+		}
+	}
 	if !f.admit(q) {
 		return Refused{After: congestedRetryAfter, Reason: ReasonCongested}
 	}
 	o := q.answer()
+	if q.isServerless(o) && q.canRelay() {
+		if relayed := q.relay(); relayed != nil {
+			o = relayed
+		}
+	}
 	if _, ok := o.(Failed); ok {
 		// The answers that are still outstanding are not needed.
 		q.cancel()
--- /dev/null
+++ b/internal/forwarder/relay.go
@@ -0,0 +1,242 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/sender"
+)
+
+const (
+	// maxRelays is the number of docks that a request may be handed over to one after the other.
+	maxRelays = 4
+	// maxRelayed bounds the requests of other docks that this dock runs at the same time.
+	maxRelayed = 512
+)
+
+var (
+	// errDetached is returned when this dock cannot reach servers either.
+	errDetached = eris.New("the dock has lost its links to the servers")
+	// errOlderConfiguration is returned when this dock's configuration is older than the sender's.
+	errOlderConfiguration = eris.New("the configuration is older than the sender's")
+	// errTooManyRelayed is returned when this dock runs maxRelayed requests of other docks.
+	errTooManyRelayed = eris.New("too many requests of other docks")
+)
+
+// relays holds the docks that requests can be handed over to. It is safe for concurrent use.
+type relays struct {
+	// Guarded by mutex.
+	mutex sync.Mutex
+	docks []encoder.Dock
+	// inFlight counts the requests that are handed over to each dock now.
+	inFlight map[netip.AddrPort]int
+}
+
+// SetRelays replaces the list of docks that can reach servers.
+func (f *Forwarder) SetRelays(docks []encoder.Dock) {
+	f.relays.mutex.Lock()
+	defer f.relays.mutex.Unlock()
+	f.relays.docks = docks
+}
+
+// chooseRelay returns a dock to hand a request over to: of two that are drawn at random, the one with
+// fewer requests of this dock, so that the load spreads over all of them. It leaves out those that were
+// tried or failed lately. It returns false if there is none.
+func (f *Forwarder) chooseRelay(now time.Time, tried map[identifier.HostName]bool) (encoder.Dock, bool) {
+	f.relays.mutex.Lock()
+	docks := f.relays.docks
+	f.relays.mutex.Unlock()
+	if len(docks) == 0 {
+		docks = f.owners.listDomainDocks()
+	}
+	candidates := []encoder.Dock{}
+	for _, d := range docks {
+		if d.Host != f.owners.self && d.Address.IsValid() && !tried[d.Host] && !f.owners.isSuspect(now, d) {
+			candidates = append(candidates, d)
+		}
+	}
+	if len(candidates) == 0 {
+		return encoder.Dock{}, false
+	}
+	first, second := candidates[rand.IntN(len(candidates))], candidates[rand.IntN(len(candidates))]
+	f.relays.mutex.Lock()
+	defer f.relays.mutex.Unlock()
+	if f.relays.inFlight[second.Address] < f.relays.inFlight[first.Address] {
+		return second, true
+	}
+	return first, true
+}
+
+// count changes the number of requests that are handed over to a dock.
+func (r *relays) count(dock netip.AddrPort, change int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.inFlight[dock] += change; r.inFlight[dock] == 0 {
+		delete(r.inFlight, dock)
+	}
+}
+
+// relay hands the request over to other docks until one has taken it. It returns nil if none did, so
+// that it has not run. A dock that has taken it runs it as often as the route allows, so that no other
+// one gets it after that.
+func (q *query) relay() Outcome {
+	f := q.forwarder
+	tried := map[identifier.HostName]bool{}
+	for range maxRelays {
+		now := f.clock.Now()
+		dock, ok := f.chooseRelay(now, tried)
+		if !ok || !now.Before(q.giveUpAt()) {
+			return nil
+		}
+		tried[dock.Host] = true
+		q.relayHosts = append(q.relayHosts, dock.Host)
+		reply, err := q.callRelay(dock)
+		switch {
+		case err == nil && reply.Outcome == encoder.RelayRefused && reply.Reason == ReasonNoServer.String():
+			// Another dock may know or reach other servers.
+			continue
+		case err == nil:
+			return relayedOutcome(reply)
+		case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
+			f.owners.markSuspect(now, dock)
+		default:
+			return q.relayFailure(dock)
+		}
+	}
+	return nil
+}
+
+// relayFailure returns the outcome of a request that another dock took and did not answer.
+func (q *query) relayFailure(dock encoder.Dock) Outcome {
+	f := q.forwarder
+	now := f.clock.Now()
+	switch {
+	case !now.Before(q.giveUpAt()):
+		f.owners.markSuspect(now, dock)
+		return Failed{Reason: ReasonTimeout}
+	case q.ctx.Err() != nil:
+		return Failed{Reason: ReasonCallerLeft}
+	default:
+		f.owners.markSuspect(now, dock)
+		return Failed{Reason: ReasonLost}
+	}
+}
+
+// callRelay hands the request over to one dock and waits for its reply.
+func (q *query) callRelay(dock encoder.Dock) (encoder.RelayReply, error) {
+	f := q.forwarder
+	f.relays.count(dock.Address, 1)
+	defer f.relays.count(dock.Address, -1)
+	ctx, cancel := context.WithDeadline(q.ctx, q.giveUpAt())
+	defer cancel()
+	r := &q.request.Request
+	return f.owners.peers.Relay(ctx, dock.Address, encoder.RelayRequest{
+		Request: r.ID, Method: r.Method, Target: r.Target, Path: q.request.Path, Host: r.Host,
+		Header: r.Header, Body: r.Body, Remaining: q.deadline.Sub(f.clock.Now()) - linkRoundTrip, Configuration: q.configurationNumber,
+	})
+}
+
+// relayedOutcome returns the outcome that another dock replied with.
+func relayedOutcome(r encoder.RelayReply) Outcome {
+	// An unknown reason, of a newer release, is reported as none.
+	reason, _ := ReasonString(r.Reason)
+	switch r.Outcome {
+	case encoder.RelayAnswered:
+		return Answer{Reply: sender.Reply{Status: r.Status, Header: r.Header, Body: r.Body, Metadata: sender.ReplyMetadata{Stamp: r.Stamp}}}
+	case encoder.RelayGathered:
+		return Gathered{Stamps: r.Stamps, Missing: r.Missing, Body: r.Body}
+	case encoder.RelayRefused:
+		return Refused{After: r.After, Reason: reason}
+	case encoder.RelayNoRoute:
+		return NoRoute{}
+	case encoder.RelayFailed:
+	}
+	return Failed{Reason: reason}
+}
+
+// relayReply returns the message for an outcome.
+func relayReply(o Outcome) encoder.RelayReply {
+	switch o := o.(type) {
+	case Answer:
+		return encoder.RelayReply{Outcome: encoder.RelayAnswered, Status: o.Reply.Status, Header: o.Reply.Header, Body: o.Reply.Body, Stamp: o.Reply.Metadata.Stamp}
+	case Gathered:
+		return encoder.RelayReply{Outcome: encoder.RelayGathered, Stamps: o.Stamps, Missing: o.Missing, Body: o.Body}
+	case Refused:
+		return encoder.RelayReply{Outcome: encoder.RelayRefused, Reason: o.Reason.String(), After: o.After}
+	case NoRoute:
+		return encoder.RelayReply{Outcome: encoder.RelayNoRoute}
+	case Failed:
+		return encoder.RelayReply{Outcome: encoder.RelayFailed, Reason: o.Reason.String()}
+	}
+	return encoder.RelayReply{Outcome: encoder.RelayFailed}
+}
+
+// HandleRelayed answers a request that another dock has handed over, because it cannot reach servers.
+// With an error, the request has not run. The context must be cancelled when the other dock no longer
+// waits.
+func (f *Forwarder) HandleRelayed(ctx context.Context, r encoder.RelayRequest) (encoder.RelayReply, error) {
+	table := f.table.Load()
+	switch {
+	case f.IsDetached():
+		return encoder.RelayReply{}, errDetached
+	case table == nil || table.Number() < r.Configuration:
+		return encoder.RelayReply{}, errOlderConfiguration
+	}
+	if err := f.beginRelayed(); err != nil {
+		return encoder.RelayReply{}, err
+	}
+	defer f.endRelayed()
+	request := &Request{
+		Request: sender.Request{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
+		Path:    r.Path, Arrived: f.clock.Now(), Timeout: r.Remaining, isRelayed: true,
+	}
+	return relayReply(f.handle(ctx, table, request)), nil
+}
+
+// beginRelayed counts a request of another dock.
+func (f *Forwarder) beginRelayed() error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch {
+	case f.isStopping:
+		return errStopping
+	case f.relayedCount >= maxRelayed:
+		return errTooManyRelayed
+	}
+	f.relayedCount++
+	return nil
+}
+
+// endRelayed ends a request that beginRelayed counted.
+func (f *Forwarder) endRelayed() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.relayedCount--
+}
+
+// canRelay reports whether the request may be handed over to other docks.
+func (q *query) canRelay() bool {
+	return q.forwarder.owners.peers != nil && q.table != nil && !q.request.isRelayed
+}
+
+// isServerless reports whether a query was refused because this dock reaches no server, though others
+// may.
+func (q *query) isServerless(o Outcome) bool {
+	refused, ok := o.(Refused)
+	return ok && refused.Reason == ReasonNoServer && q.forwarder.detachment.isDoubtful()
+}
+
+// isDoubtful reports whether this dock may be cut off.
+func (d *detachment) isDoubtful() bool {
+	now := d.forwarder.clock.Now()
+	return d.monitor.IsDetached() || d.monitor.IsSuspect(now)
+}
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -119,6 +119,9 @@
 	if shards := len(q.services()); shards > 1 {
 		line = line.Int(recorder.FieldShards, shards).Int(recorder.FieldMissing, s.missing)
 	}
+	if len(q.relayHosts) > 0 {
+		line = line.Array(recorder.FieldRelays, hostList(q.relayHosts))
+	}
 	if list := q.delegationsToLog(); len(list) > 0 {
 		line = line.Array(recorder.FieldOwners, list)
 	}
@@ -268,6 +271,16 @@
 	}
 }
 
+// hostList is a list of hosts for a log line.
+type hostList []identifier.HostName
+
+// MarshalZerologArray adds the hosts to a log line.
+func (l hostList) MarshalZerologArray(a *zerolog.Array) {
+	for _, host := range l {
+		a.Str(string(host))
+	}
+}
+
 // jobsToLog returns the attempts of jobs that were not answered or made more than one attempt.
 // Jobs without an answer come first. The list has at most maxLoggedJobs entries.
 func (q *query) jobsToLog() jobTraces {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -26,6 +26,12 @@
 	// all docks together, and EventServerUnlimited that it no longer does.
 	EventServerLimited   = "server limited"
 	EventServerUnlimited = "server no longer limited"
+	// EventDetached reports that this dock has lost its links to all backend servers, and EventAttached
+	// that it has them again.
+	EventDetached = "cut off from the servers"
+	EventAttached = "servers reachable again"
+	// EventDetachNotSent reports that a keeper was not told that this dock is cut off, or no longer is.
+	EventDetachNotSent = "cut not reported"
 	// EventTokensFailed reports that the leading keeper did not answer a dock's request for tokens.
 	EventTokensFailed = "tokens not received"
 	// EventServerDeparts reports that a backend server announced that it leaves or has left.
@@ -146,6 +152,10 @@
 	FieldStatus   = "status"
 	FieldBudget   = "budget_left"
 	FieldSlowness = "slowness"
+	// FieldReached is the number of servers that accepted a probe.
+	FieldReached = "reached"
+	// FieldRelays lists the docks that a request was handed over to.
+	FieldRelays = "relays"
 	// FieldLimit is the number of requests per second that a server takes from all docks together.
 	FieldLimit    = "limit"
 	FieldState    = "state"
--- a/internal/routedockrunner/peers.go
+++ b/internal/routedockrunner/peers.go
@@ -24,6 +24,11 @@
 	return linker.Call[encoder.MoreRequest, encoder.GatherReply](ctx, p.pool.Link(dock), encoder.KindMore, r)
 }
 
+// Relay hands a request over to a dock and returns how that dock handled it.
+func (p peers) Relay(ctx context.Context, dock netip.AddrPort, r encoder.RelayRequest) (encoder.RelayReply, error) {
+	return linker.Call[encoder.RelayRequest, encoder.RelayReply](ctx, p.pool.Link(dock), encoder.KindRelay, r)
+}
+
 // Connect opens the link to a dock unless it is open.
 func (p peers) Connect(ctx context.Context, dock netip.AddrPort) error {
 	return p.pool.Link(dock).Connect(ctx)
@@ -54,6 +59,9 @@
 	linker.Handle(mux, encoder.KindMore, func(ctx context.Context, peer linker.Peer, r encoder.MoreRequest) (encoder.GatherReply, error) {
 		return d.forwarder.More(ctx, peer.Incarnation, r)
 	})
+	linker.Handle(mux, encoder.KindRelay, func(ctx context.Context, _ linker.Peer, r encoder.RelayRequest) (encoder.RelayReply, error) {
+		return d.forwarder.HandleRelayed(ctx, r)
+	})
 	links, err := linker.Listen(d.settings.LinkAddress, d.process.Self(), mux, d.process.Clock)
 	if err != nil {
 		return err
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -109,6 +109,7 @@
 	}
 	d.watcher = watcher.New(d.self(), settings.LinkSeeds(), d.pool, compile(adapter.Compile), d.forwarder, p.Clock, p.Log)
 	d.forwarder.SetTokenIssuer(d.watcher)
+	d.forwarder.OnDetached(d.watcher.SetDetached)
 	d.forwarder.OnObserved(d.watcher.ScheduleObservations)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.checkReadiness)
@@ -144,6 +145,12 @@
 	m.Computed("selector.slow_servers", measurer.Count, "Backend servers that most docks find slow.", func() int64 {
 		return int64(d.forwarder.Stats().Slow)
 	})
+	m.Computed("forwarder.detached", measurer.Count, "1 if this dock has lost its links to all backend servers.", func() int64 {
+		if d.forwarder.IsDetached() {
+			return 1
+		}
+		return 0
+	})
 	m.Computed("selector.unreachable_servers", measurer.Count, "Backend servers to which this dock could not open connections lately.", func() int64 {
 		return int64(d.forwarder.Stats().Unreachable)
 	})
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -195,6 +195,9 @@
 		}
 		return reply, nil
 	})
+	linker.Handle(mux, encoder.KindDetach, func(_ context.Context, peer linker.Peer, n encoder.DetachNotice) (encoder.DetachReply, error) {
+		return k.broadcaster.ReportDetached(peer.Host, n), nil
+	})
 	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
 		k.broadcaster.MergeDeparture(r)
 		return encoder.DepartReply{}, nil
--- /dev/null
+++ b/internal/selector/reach.go
@@ -0,0 +1,39 @@
+package selector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ProbeTargets returns at most count different servers, drawn at random from those that send
+// heartbeats.
+func (s *Selector) ProbeTargets(count int) []Target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	candidates := []*server{}
+	for _, v := range s.servers {
+		if !v.info.Silent {
+			candidates = append(candidates, v)
+		}
+	}
+	// The order of a map is not random enough, and differs between runs with one seed.
+	slices.SortFunc(candidates, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	targets := []Target{}
+	for _, v := range candidates[:min(count, len(candidates))] {
+		targets = append(targets, Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain, Service: v.info.Service, Born: v.info.Born})
+	}
+	return targets
+}
+
+// ForgetFailures forgets the failures and the slowness of all servers, because the links of this dock
+// caused them and not the servers.
+func (s *Selector) ForgetFailures() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, v := range s.servers {
+		v.slowness, v.failureRate = 0, 0
+		v.blockedUntil, v.connectFailures = time.Time{}, 0
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -139,6 +139,9 @@
 	ID      encoder.ServerID
 	Address netip.AddrPort
 	Domain  identifier.DomainName
+	// Service is the server's service, and Born identifies its start.
+	Service identifier.ServiceName
+	Born    int64
 	// Score is the server's score in the choice, including preferences and jitter: its expected
 	// latency as a multiple of the usual latency. Lower is better.
 	Score float64
@@ -208,6 +211,8 @@
 		ID:        v.info.ID,
 		Address:   v.info.Address,
 		Domain:    v.info.Domain,
+		Service:   v.info.Service,
+		Born:      v.info.Born,
 		Score:     score,
 		Seen:      v.age(now),
 		IsLimited: v.limit.IsNamed,
--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -72,6 +72,8 @@
 
 		QuarantinesDigest: k.quarantinesDigest,
 		LimitsDigest:      w.limitsDigest,
+		IsDetached:        w.isDetached,
+		DetachVersion:     w.detachVersion,
 
 		Wait: watchWait,
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -66,6 +66,8 @@
 	SetSlowServers(slowServers []encoder.SlowServer)
 	// MergeLimits adds what the docks know of the limits that servers name.
 	MergeLimits(limits []encoder.ServerLimit)
+	// SetRelays replaces the list of docks that can reach backend servers.
+	SetRelays(docks []encoder.Dock)
 }
 
 // Watcher watches the keepers. It is safe for concurrent use.
@@ -86,6 +88,9 @@
 	// observed wakes the observer when there are observations.
 	observed chan struct{}
 
+	// detachChanged wakes the detachReporter.
+	detachChanged chan struct{}
+
 	// fetchMutex allows one transfer of a configuration at a time.
 	fetchMutex sync.Mutex
 
@@ -107,6 +112,10 @@
 	// computation is scheduled.
 	lastPublish        time.Time
 	isPublishScheduled bool
+	// isDetached is set while this dock has lost its links to all backend servers. detachVersion
+	// increases with each change of it.
+	isDetached    bool
+	detachVersion uint64
 	// wasFresh is the result of IsFresh that was logged last.
 	wasFresh bool
 }
@@ -129,11 +138,14 @@
 
 		dirty:    make(chan struct{}, 1),
 		observed: make(chan struct{}, 1),
+
+		detachChanged: make(chan struct{}, 1),
 	}
 	w.SetSeeds(seeds)
-	w.tasks.Add(2)
+	w.tasks.Add(3)
 	go w.loop()
 	go (&observer{w}).loop()
+	go (&detachReporter{Watcher: w, acknowledged: map[netip.AddrPort]uint64{}}).loop()
 	return w
 }
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -61,6 +62,16 @@
 		k.broadcaster.Observe(n)
 		return struct{}{}, nil
 	})
+	linker.Handle(mux, encoder.KindDetach, func(_ context.Context, peer linker.Peer, n encoder.DetachNotice) (encoder.DetachReply, error) {
+		return k.broadcaster.ReportDetached(peer.Host, n), nil
+	})
+	linker.Handle(mux, encoder.KindTokens, func(_ context.Context, _ linker.Peer, r encoder.TokenRequest) (encoder.TokenReply, error) {
+		reply, ok := k.broadcaster.IssueTokens(r)
+		if !ok {
+			return reply, errNotLeading
+		}
+		return reply, nil
+	})
 	var err error
 	k.server, err = linker.Listen(netip.MustParseAddrPort(address), linker.Self{Host: "keeper", Incarnation: incarnation}, mux, clock)
 	assert.NilError(t, err)
@@ -87,6 +98,13 @@
 	}
 }
 
+// setLeading sets whether this keeper leads.
+func (k *keeper) setLeading(isLeader bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.isLeader = isLeader
+}
+
 // configure applies a configuration.
 func (k *keeper) configure(number uint64) {
 	k.mutex.Lock()
@@ -100,6 +118,9 @@
 	assert.NilError(k.t, k.server.Close())
 }
 
+// errNotLeading rejects requests for tokens at a keeper that does not lead.
+var errNotLeading = errors.New("does not lead")
+
 // dock is a Sink that records what the watcher passes to it.
 type dock struct {
 	t       *testing.T
@@ -117,6 +138,10 @@
 	report        encoder.CrashReport
 	reportVersion uint64
 	quarantines   map[identifier.Fingerprint]bool
+	// domainDocks and relays are the hosts of the docks that the watcher listed last.
+	domainDocks []identifier.HostName
+	relays      []identifier.HostName
+	limits      []encoder.ServerLimit
 }
 
 func (d *dock) Configure(table *matcher.Table) {
@@ -131,7 +156,20 @@
 	d.servers = services
 }
 
-func (d *dock) SetDomainDocks([]encoder.Dock) {}
+func (d *dock) SetDomainDocks(docks []encoder.Dock) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.domainDocks = hostsOf(docks)
+}
+
+// hostsOf returns the host names of docks.
+func hostsOf(docks []encoder.Dock) []identifier.HostName {
+	hosts := []identifier.HostName{}
+	for _, one := range docks {
+		hosts = append(hosts, one.Host)
+	}
+	return hosts
+}
 
 func (d *dock) SetDocks(n, _ int) {
 	d.mutex.Lock()
@@ -182,7 +220,17 @@
 	return observations
 }
 
-func (d *dock) MergeLimits([]encoder.ServerLimit) {}
+func (d *dock) MergeLimits(limits []encoder.ServerLimit) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.limits = limits
+}
+
+func (d *dock) SetRelays(docks []encoder.Dock) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.relays = hostsOf(docks)
+}
 
 func (d *dock) SetSlowServers(slowServers []encoder.SlowServer) {
 	d.mutex.Lock()
@@ -200,13 +248,18 @@
 }
 
 func startDock(t *testing.T, seeds ...*keeper) *dock {
-	self := linker.Self{Host: "dock", Incarnation: identifier.NewIncarnation()}
+	return startDockAs(t, encoder.Dock{Host: "dock"}, seeds...)
+}
+
+// startDockAs starts a dock with a host name, a failure domain and an address for other docks.
+func startDockAs(t *testing.T, as encoder.Dock, seeds ...*keeper) *dock {
+	self := linker.Self{Host: as.Host, Incarnation: identifier.NewIncarnation()}
 	d := &dock{t: t, pool: linker.NewPool(self, timekeeper.System{}), quarantines: map[identifier.Fingerprint]bool{}}
 	addresses := []netip.AddrPort{}
 	for _, k := range seeds {
 		addresses = append(addresses, k.server.Address())
 	}
-	d.watcher = watcher.New(encoder.Dock{}, addresses, d.pool, compile, d, timekeeper.System{}, zerolog.Nop())
+	d.watcher = watcher.New(as, addresses, d.pool, compile, d, timekeeper.System{}, zerolog.Nop())
 	return d
 }
 
