What a dock observes of servers while it is cut off does not count against them

Cause: a request without an answer counted as evidence against its server, though the dock's own links may be the cause.

Change: observations are held back while no server has answered after the last loss, and forgotten, with failures and blocks, when the dock is found to be cut off or attached again.

Why it works: an answer of any server after the loss shows that the dock has links.

--- a/internal/selector/observation.go
+++ b/internal/selector/observation.go
@@ -38,10 +38,15 @@
 	}
 }
 
-// TakeObservations returns and clears the observations since the last call.
+// TakeObservations returns and clears the observations since the last call. While no server has
+// answered after the last request without an answer it returns none and keeps them, because the links of this dock may
+// have failed and not the servers.
 func (s *Selector) TakeObservations() []encoder.Observation {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.lastSilence.After(s.lastAnswer) {
+		return nil
+	}
 	list := make([]encoder.Observation, 0, len(s.observations))
 	for _, o := range s.observations {
 		list = append(list, *o)
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -36,4 +36,6 @@
 		v.slowness, v.failureRate = 0, 0
 		v.blockedUntil, v.connectFailures = time.Time{}, 0
 	}
+	clear(s.observations)
+	s.lastSilence = time.Time{}
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -57,6 +57,10 @@
 	// slowServers holds the servers that the docks together found slow, with their latencies as
 	// multiples of the usual.
 	slowServers map[encoder.ServerID]float64
+	// lastSilence is when a request last ended without an answer that counts against its server, and
+	// lastAnswer when a server last answered.
+	lastSilence time.Time
+	lastAnswer  time.Time
 	// earlyLimits are the limits of servers that are not known yet.
 	earlyLimits map[encoder.ServerID]earlyLimit
 	// observations holds what was observed since the last call of TakeObservations.
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -168,6 +168,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	elapsed := now.Sub(f.started)
+	s.lastAnswer = now
 	v := f.remove()
 	if v == nil {
 		return elapsed
@@ -211,6 +212,7 @@
 	if v == nil {
 		return
 	}
+	s.lastSilence = now
 	s.record(f, now.Sub(f.started), true)
 	v.observe(now, true)
 	if isUnreachable {
@@ -234,6 +236,7 @@
 	}
 	ratio := float64(now.Sub(f.started)) / float64(f.usual)
 	if ratio >= slowRatio {
+		s.lastSilence = now
 		s.record(f, now.Sub(f.started), false)
 	}
 	if ratio > v.currentSlowness() {
