A dock that is cut off does not take servers for crashed

What callers could see: with links that are reset and refuse new connections, a dock lost the requests on all servers and took each server for crashed, 24 crashes of one request in the test. Three with a repeat quarantine a request on all docks for ten minutes.

Cause: a refused connection counted as proof that the server has ended, though the dock's own links may refuse it.

Change: a server counts as crashed only after another server was reached since the refusal, which a probe finds out at once, or when the keepers no longer get its heartbeats. Without either for 8 s the crash is not confirmed.

Why it works: a dock that reaches another server has links; a server that still sends heartbeats has not ended.

The tests of crashes get a server of another service, because a dock none of whose servers can be reached cannot tell; what they check is unchanged.

Evidence: TestDockWithoutLinksAccusesARequest fails without the change (24 crashes instead of none).

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -247,15 +247,17 @@
 }
 
 // confirmCrash checks whether a server that lost a request has crashed, and records the crash. The
-// server counts as crashed if its address refuses connections. A server that lost only the answer
-// still accepts them.
+// server counts as crashed if its address refuses connections while other servers can be reached. A
+// server that lost only the answer still accepts them.
 func (a *attempt) confirmCrash(destination sender.Destination) {
 	q := a.job.query
 	f := q.forwarder
 	ctx, cancel := context.WithTimeout(f.ctx, crashCheckTimeout)
 	defer cancel()
+	refusedAt := f.clock.Now()
 	err := f.sender.Probe(ctx, destination)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
+	if !isRefused || !f.detachment.awaitCorroboration(refusedAt, a.target) {
 		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
 			Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrashUnconfirmed)
 		return
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -28,13 +28,15 @@
 }
 
 // newCrashingDeployment returns a deployment whose servers crash when they run a request. They all
-// belong to one service.
+// belong to one service. A server of another service stays, because a dock that reaches no server at
+// all cannot tell whether they have crashed.
 func newCrashingDeployment(t *testing.T, ids ...string) *deployment {
 	t.Helper()
 	d := newDeployment(t, ampleBudget)
 	for _, id := range ids {
 		d.addServer("plates", id, crashesServer)
 	}
+	d.addServer("other", "other", answers("ok"))
 	d.setRoute(matcher.Route{Idempotent: true, Destination: matcher.Single{Service: "plates"}})
 	return d
 }
@@ -80,6 +82,53 @@
 	assert.Assert(t, strings.Contains(d.requestLog(), `"reason":"quarantined"`), d.requestLog())
 }
 
+// TestDockWithoutLinksAccusesARequest cuts the dock off from all servers while it runs requests: their
+// losses must not count as crashes, and nothing that it observed of the servers may reach other docks.
+func TestDockWithoutLinksAccusesARequest(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	s, l := newLinkedSender()
+	d.forwarder = d.newForwarderWith(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1}, s)
+	t.Cleanup(func() {
+		d.forwarder.Close()
+		s.Close()
+	})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		d.addServer("plates", id, answers("ok"))
+	}
+	d.setRoute(matcher.Route{Idempotent: true, Destination: toPlates, LatencyTarget: 50 * time.Millisecond})
+	for range 50 {
+		expect[forwarder.Answer](t, d.get())
+	}
+	d.forwarder.TakeObservations()
+	var requests sync.WaitGroup
+	for _, server := range d.servers {
+		server.mutex.Lock()
+		server.handle = after(time.Second, answers("late"))
+		server.mutex.Unlock()
+	}
+	for range 6 {
+		requests.Go(func() { d.get() })
+	}
+	time.Sleep(20 * time.Millisecond)
+	l.set(linkReset)
+	for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+		d.get()
+		assert.Equal(t, len(d.forwarder.TakeObservations()), 0)
+		assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+	}
+	requests.Wait()
+	assert.Assert(t, d.forwarder.IsDetached())
+	for _, server := range d.servers {
+		server.mutex.Lock()
+		server.handle = answers("ok")
+		server.mutex.Unlock()
+	}
+	l.set(linkUp)
+	waitFor(t, func() bool { return !d.forwarder.IsDetached() })
+	expect[forwarder.Answer](t, d.get())
+	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+}
+
 func TestLostAnswerIsNotReportedAsCrash(t *testing.T) {
 	d := newDeployment(t, ampleBudget)
 	for _, id := range []string{"a", "b"} {
@@ -246,6 +295,7 @@
 		_ = d.servers["a"].server.Listener.Close()
 		dropsConnection(w, r, n)
 	})
+	d.addServer("other", "other", answers("ok"))
 	d.setRoute(matcher.Route{Idempotent: true, Attempts: 1, Destination: matcher.Single{Service: "plates"}})
 	var other sync.WaitGroup
 	other.Go(func() { d.send(context.Background(), "POST", "harmless", 2*time.Second) })
--- a/internal/forwarder/detachment.go
+++ b/internal/forwarder/detachment.go
@@ -9,6 +9,7 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/monitor"
 	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 )
 
@@ -19,6 +20,11 @@
 	probeTimeout = 250 * time.Millisecond
 	// reprobeInterval is the pause between two rounds while the dock is cut off.
 	reprobeInterval = 300 * time.Millisecond
+	// corroborationTimeout bounds the wait for a sign that a server has failed and not the links of
+	// this dock. By then the keepers have missed heartbeats of a server that crashed.
+	corroborationTimeout = 8 * time.Second
+	// corroborationInterval is the time between two checks for that sign.
+	corroborationInterval = 100 * time.Millisecond
 )
 
 // detachment finds out whether this dock has lost its links to all servers. It probes servers only
@@ -32,6 +38,9 @@
 
 	// Set before the first request. It is called when the dock is cut off, and when it no longer is.
 	onChange func(isDetached bool)
+
+	// waiting counts the calls of awaitCorroboration that wait.
+	waiting atomic.Int32
 }
 
 // newDetachment returns the detachment of an attached dock.
@@ -89,7 +98,7 @@
 
 // mustProbe reports whether servers must be probed now.
 func (d *detachment) mustProbe() bool {
-	return d.monitor.IsDetached() || d.monitor.IsSuspect(d.forwarder.clock.Now())
+	return d.monitor.IsDetached() || d.waiting.Load() > 0 || d.monitor.IsSuspect(d.forwarder.clock.Now())
 }
 
 // pause waits until the next check. It returns false if the forwarder is closed.
@@ -145,3 +154,26 @@
 	d.onChange(isDetached)
 	f.onTargetsChanged()
 }
+
+// awaitCorroboration waits for a sign that a server failed by itself at a moment: another server was
+// reached since, or the keepers no longer know this start of the server as alive. It returns false if
+// there is none in time, because then the links of this dock may have failed.
+func (d *detachment) awaitCorroboration(at time.Time, target selector.Target) bool {
+	f := d.forwarder
+	d.waiting.Add(1)
+	defer d.waiting.Add(-1)
+	d.connectionFailed(at, target.ID)
+	ticker := f.clock.NewTicker(corroborationInterval)
+	defer ticker.Stop()
+	for f.clock.Now().Sub(at) < corroborationTimeout {
+		if d.monitor.HasReachedSince(at) || !f.selector.IsAlive(target.ID, target.Born) {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-f.ctx.Done():
+			return false
+		}
+	}
+	return false
+}
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
 )
 
 // ProbeTargets returns at most count different servers, drawn at random from those that send
@@ -27,6 +29,14 @@
 	return targets
 }
 
+// IsAlive reports whether the keepers know a start of a server and get its heartbeats.
+func (s *Selector) IsAlive(id encoder.ServerID, born int64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v := s.servers[id]
+	return v != nil && v.info.Born == born && !v.info.Silent
+}
+
 // ForgetFailures forgets the failures and the slowness of all servers, because the links of this dock
 // caused them and not the servers.
 func (s *Selector) ForgetFailures() {
