A server's bytes that never end no longer occupy a request until its deadline

What callers could see: a server that sends bytes without end in the head of a reply held the request until its deadline, while the dock's memory grew with all that it sent: the parser of heads has no limit. Bodies were limited to 4 MB.

Change: the bytes read for the heads of one reply, informational ones included, are limited to 64 KiB, and those of a body as it is encoded to twice its limit. The connection is then closed and the request counts as lost.

--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -84,12 +84,14 @@
 // read reads one reply and skips informational ones (1xx). It reports whether the connection
 // stays open after the reply.
 func (x *exchange) read() (reply Reply, staysOpen bool, err error) {
+	x.connection.limiter.beginHead()
 	for {
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return Reply{}, false, err
 		}
 		if response.StatusCode >= http.StatusOK {
+			x.connection.limiter.beginBody()
 			return x.readBody(response)
 		}
 	}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -27,6 +27,8 @@
 type connection struct {
 	socket net.Conn
 	reader *bufio.Reader
+	// limiter is below the reader.
+	limiter *replyLimiter
 	// usableUntil is the time after which an idle connection must not be reused.
 	usableUntil time.Time
 }
@@ -101,7 +103,8 @@
 		return nil, err
 	}
 	p.sender.opened.Inc(1)
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readerBytes)}, nil
+	limiter := &replyLimiter{source: socket}
+	return &connection{socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter}, nil
 }
 
 // release returns a connection to the pool, or closes it if keep is false or the pool is closed.
--- /dev/null
+++ b/internal/sender/replylimit.go
@@ -0,0 +1,32 @@
+package sender
+
+import (
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// errReplyTooLarge reports a reply whose bytes do not end within the limits.
+var errReplyTooLarge = eris.New("the reply is too large")
+
+// replyLimiter limits the bytes that are read from a connection for one reply. The parsers of heads and
+// of chunked bodies have no limits of their own.
+type replyLimiter struct {
+	source io.Reader
+	left   int64
+}
+
+// Read reads from the connection. It fails once the reply is too large.
+func (l *replyLimiter) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errReplyTooLarge
+	}
+	n, err := l.source.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// beginHead limits the status line and the headers, and beginBody the body as it is encoded.
+func (l *replyLimiter) beginHead() { l.left = maxHeadBytes }
+
+func (l *replyLimiter) beginBody() { l.left = maxEncodedBytes }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -34,6 +34,12 @@
 	userTimeout = 2 * time.Second
 	// maxReplyBytes is the maximum size of a reply's body in bytes.
 	maxReplyBytes = 4 << 20
+	// maxEncodedBytes is the maximum size in bytes of a reply's body as it is sent, chunk headers
+	// included.
+	maxEncodedBytes = 2 * maxReplyBytes
+	// maxHeadBytes is the maximum size in bytes of a reply's status line and headers, together with
+	// those of the informational replies before it.
+	maxHeadBytes = 64 << 10
 	// maxForeignReplies is the maximum number of replies to other requests that are skipped
 	// while waiting for a reply.
 	maxForeignReplies = 2
