Requests that wait for servers out of reach end when the dock knows that it is cut off

Cause: the dock found out after half a second, but only new requests were handed over.

Change: when the dock is cut off, a request that may be repeated is handed over if its route and the repeat budget permit it to run on one more server of each service, and fails at once otherwise. A request that may not be repeated waits on, because nothing is known of it.

Evidence: TestCallersWaitForServersThatCannotAnswer.

--- a/internal/encoder/relay.go
+++ b/internal/encoder/relay.go
@@ -21,6 +21,9 @@
 	// Configuration is the number of the configuration in force at the sender. The receiver must have
 	// the same or a newer one.
 	Configuration uint64 `msgpack:"c"`
+	// Attempts limits the servers of a service that may run the request. Zero means that the route
+	// alone limits them.
+	Attempts int `msgpack:"a,omitempty"`
 }
 
 // RelayOutcome is the kind of a RelayReply.
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -137,7 +137,7 @@
 		Services:      d.services,
 		Tokens:        d.tokens,
 		Rows:          q.rowLimit(),
-		Attempts:      q.route.Attempts,
+		Attempts:      q.attempts(),
 		Remaining:     q.deadline.Sub(now),
 		Priority:      q.route.Priority,
 	}
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -162,6 +162,47 @@
 	return float64(s) / float64(n)
 }
 
+// TestCallersWaitForServersThatCannotAnswer cuts a dock off while servers run its requests. They end as
+// soon as the dock knows, and where the route permits, another dock runs them, on no more servers than
+// the route allows.
+func TestCallersWaitForServersThatCannotAnswer(t *testing.T) {
+	d := newDetachment(t, 4)
+	for _, s := range d.servers {
+		s.mutex.Lock()
+		s.handle = after(20*time.Millisecond, s.handle)
+		s.mutex.Unlock()
+	}
+	assert.Assert(t, d.call(0, "/all/", "warm"))
+	before := d.totalRequests()
+	began := time.Now()
+	var calls sync.WaitGroup
+	served := [2]bool{}
+	for i, path := range []string{"/all/", "/one/"} {
+		calls.Go(func() { served[i] = d.call(0, path, path) })
+	}
+	time.Sleep(10 * time.Millisecond)
+	d.links[0].set(linkSilent)
+	calls.Wait()
+	assert.Assert(t, served[0], "another dock can run the request")
+	assert.Assert(t, !served[1], "it may have run, and must not run again")
+	assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "%s", time.Since(began))
+	for _, s := range d.servers {
+		n, _ := s.count()
+		assert.Assert(t, n <= 3, "%d requests at %s", n, s.id)
+	}
+	assert.Assert(t, d.totalRequests()-before <= 2*4+1, "%d requests", d.totalRequests()-before)
+}
+
+// totalRequests returns the number of requests that arrived at all servers.
+func (d *detachment) totalRequests() int {
+	sum := 0
+	for _, s := range d.servers {
+		n, _ := s.count()
+		sum += n
+	}
+	return sum
+}
+
 // TestCallersOfDocksWithoutServersAreServedFarWorse cuts some docks off from all servers and compares
 // the callers of these with those of the other docks.
 func TestCallersOfDocksWithoutServersAreServedFarWorse(t *testing.T) {
--- a/internal/forwarder/detachment.go
+++ b/internal/forwarder/detachment.go
@@ -39,13 +39,18 @@
 	// Set before the first request. It is called when the dock is cut off, and when it no longer is.
 	onChange func(isDetached bool)
 
+	// detached is closed when the dock is cut off, and replaced when it no longer is.
+	detached atomic.Pointer[chan struct{}]
 	// waiting counts the calls of awaitCorroboration that wait.
 	waiting atomic.Int32
 }
 
 // newDetachment returns the detachment of an attached dock.
 func newDetachment(f *Forwarder) *detachment {
-	return &detachment{forwarder: f, monitor: monitor.New(), suspected: make(chan struct{}, 1), onChange: func(bool) {}}
+	d := &detachment{forwarder: f, monitor: monitor.New(), suspected: make(chan struct{}, 1), onChange: func(bool) {}}
+	channel := make(chan struct{})
+	d.detached.Store(&channel)
+	return d
 }
 
 // OnDetached sets the function that is called when this dock has lost its links to all servers and
@@ -55,6 +60,17 @@
 // IsDetached reports whether this dock has lost its links to all servers.
 func (f *Forwarder) IsDetached() bool { return f.detachment.monitor.IsDetached() }
 
+// signal returns the channel that is closed when the dock is cut off, or nil if it is already.
+func (d *detachment) signal() <-chan struct{} {
+	channel := *d.detached.Load()
+	select {
+	case <-channel:
+		return nil
+	default:
+		return channel
+	}
+}
+
 // sent records that a request is being sent to a server.
 func (d *detachment) sent(now time.Time, server encoder.ServerID) {
 	d.monitor.Sent(now, server)
@@ -149,6 +165,10 @@
 	event := recorder.EventAttached
 	if isDetached {
 		event = recorder.EventDetached
+		close(*d.detached.Load())
+	} else {
+		channel := make(chan struct{})
+		d.detached.Store(&channel)
 	}
 	f.log.Warn().Int(recorder.FieldCount, tried).Int(recorder.FieldReached, reached).Msg(event)
 	d.onChange(isDetached)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -59,6 +59,8 @@
 	Timeout time.Duration
 	// isRelayed is set for a request that another dock has handed over.
 	isRelayed bool
+	// maxRuns limits the servers of a service that may run the request, if it is not zero.
+	maxRuns int
 }
 
 // Settings are the settings of a Forwarder.
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -63,7 +63,7 @@
 
 // newJob returns a job that has not been started.
 func newJob(q *query, service identifier.ServiceName, latency *selector.Latencies) *job {
-	maxRuns := q.route.Attempts
+	maxRuns := q.attempts()
 	if maxRuns <= 0 {
 		maxRuns = defaultAttempts
 	}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -68,6 +68,9 @@
 	// tokens holds the server of each service for which the query has an unused token of the server's
 	// limit.
 	tokens map[identifier.ServiceName]encoder.ServerID
+	// detached is closed when this dock is cut off from the servers. It is nil if that no longer
+	// matters.
+	detached <-chan struct{}
 	// relayHosts are the docks that the request was handed over to.
 	relayHosts []identifier.HostName
 	// results receives the results of attempts until finished is closed.
@@ -158,7 +161,7 @@
 		return Refused{After: quarantineRemaining, Reason: ReasonQuarantined}
 	}
 	if f.IsDetached() && q.canRelay() {
-		if o := q.relay(); o != nil {
+		if o := q.relay(0); o != nil {
 			return o
 		}
 	}
@@ -166,8 +169,10 @@
 		return Refused{After: congestedRetryAfter, Reason: ReasonCongested}
 	}
 	o := q.answer()
-	if q.isServerless(o) && q.canRelay() {
-		if relayed := q.relay(); relayed != nil {
+	if h, ok := o.(handedOver); ok {
+		o = q.relayUnanswered(h)
+	} else if q.isServerless(o) && q.canRelay() {
+		if relayed := q.relay(0); relayed != nil {
 			o = relayed
 		}
 	}
@@ -195,6 +200,7 @@
 func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
 	q.collector = c
 	q.results = make(chan attemptResult, len(services))
+	q.detached = q.forwarder.detachment.signal()
 	if o := q.begin(services); o != nil {
 		return o
 	}
@@ -231,6 +237,9 @@
 // wait handles the next event. It returns the outcome, or nil if the query goes on.
 func (q *query) wait(wake <-chan time.Time) Outcome {
 	select {
+	case <-q.detached:
+		q.detached = nil
+		return q.giveUpServers(q.forwarder.clock.Now())
 	case r := <-q.results:
 		return q.handleResult(r)
 	case r := <-q.replies:
@@ -314,6 +323,14 @@
 // services returns the services of the route's destination.
 func (q *query) services() []identifier.ServiceName { return matcher.Services(q.route.Destination) }
 
+// attempts returns the number of servers of each service that may run the request.
+func (q *query) attempts() int {
+	if limit := q.request.maxRuns; limit > 0 {
+		return min(q.route.Attempts, limit)
+	}
+	return q.route.Attempts
+}
+
 // rowLimit returns the largest number of records in an answer, or 0 if the route is not scattered.
 func (q *query) rowLimit() int {
 	d, _ := q.route.Destination.(matcher.Scatter)
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -13,6 +13,7 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 )
 
@@ -87,8 +88,8 @@
 
 // relay hands the request over to other docks until one has taken it. It returns nil if none did, so
 // that it has not run. A dock that has taken it runs it as often as the route allows, so that no other
-// one gets it after that.
-func (q *query) relay() Outcome {
+// one gets it after that. Attempts limits the servers of a service that may run it, if it is not zero.
+func (q *query) relay(attempts int) Outcome {
 	f := q.forwarder
 	tried := map[identifier.HostName]bool{}
 	for range maxRelays {
@@ -99,7 +100,7 @@
 		}
 		tried[dock.Host] = true
 		q.relayHosts = append(q.relayHosts, dock.Host)
-		reply, err := q.callRelay(dock)
+		reply, err := q.callRelay(dock, attempts)
 		switch {
 		case err == nil && reply.Outcome == encoder.RelayRefused && reply.Reason == ReasonNoServer.String():
 			// Another dock may know or reach other servers.
@@ -132,7 +133,7 @@
 }
 
 // callRelay hands the request over to one dock and waits for its reply.
-func (q *query) callRelay(dock encoder.Dock) (encoder.RelayReply, error) {
+func (q *query) callRelay(dock encoder.Dock, attempts int) (encoder.RelayReply, error) {
 	f := q.forwarder
 	f.relays.count(dock.Address, 1)
 	defer f.relays.count(dock.Address, -1)
@@ -142,6 +143,7 @@
 	return f.owners.peers.Relay(ctx, dock.Address, encoder.RelayRequest{
 		Request: r.ID, Method: r.Method, Target: r.Target, Path: q.request.Path, Host: r.Host,
 		Header: r.Header, Body: r.Body, Remaining: q.deadline.Sub(f.clock.Now()) - linkRoundTrip, Configuration: q.configurationNumber,
+		Attempts: attempts,
 	})
 }
 
@@ -197,7 +199,7 @@
 	defer f.endRelayed()
 	request := &Request{
 		Request: sender.Request{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
-		Path:    r.Path, Arrived: f.clock.Now(), Timeout: r.Remaining, isRelayed: true,
+		Path:    r.Path, Arrived: f.clock.Now(), Timeout: r.Remaining, isRelayed: true, maxRuns: r.Attempts,
 	}
 	return relayReply(f.handle(ctx, table, request)), nil
 }
@@ -223,6 +225,44 @@
 	f.relayedCount--
 }
 
+// handedOver is the outcome of a query that waits for servers which this dock can no longer reach, and
+// whose request may run on others. No caller gets it.
+type handedOver struct {
+	// attempts is the number of servers of each service that may still run the request.
+	attempts int
+}
+
+func (handedOver) isOutcome() {}
+
+// giveUpServers ends a query that waits for servers which this dock can no longer reach, so that the
+// caller need not wait for nothing. It returns nil if the query must go on: the request may not be
+// repeated, or other docks have parts of it.
+func (q *query) giveUpServers(now time.Time) Outcome {
+	if !q.route.Idempotent || len(q.delegations) > 0 {
+		return nil
+	}
+	left := q.route.Attempts
+	running := []identifier.ServiceName{}
+	for _, j := range q.jobs {
+		left = min(left, j.maxRuns-j.runs)
+		if j.runs > 0 {
+			running = append(running, j.service)
+		}
+	}
+	if q.canRelay() && left > 0 && q.forwarder.selector.MayRepeatAll(now, running, selector.RequiredRetry) {
+		return handedOver{attempts: left}
+	}
+	return Failed{Reason: ReasonLost}
+}
+
+// relayUnanswered hands a request over that servers may have run.
+func (q *query) relayUnanswered(h handedOver) Outcome {
+	if o := q.relay(h.attempts); o != nil {
+		return o
+	}
+	return Failed{Reason: ReasonLost}
+}
+
 // canRelay reports whether the request may be handed over to other docks.
 func (q *query) canRelay() bool {
 	return q.forwarder.owners.peers != nil && q.table != nil && !q.request.isRelayed
