--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -14,6 +15,8 @@
 	maximumFaultTime = 3 * time.Second
 	// maximumFaultInterval bounds the time between the starts of two faults. Faults overlap.
 	maximumFaultInterval = 1200 * time.Millisecond
+	// maximumLimit bounds the limits that servers name, in requests per second.
+	maximumLimit = 5
 	// stopTimeout is how long a process may take to exit after SIGTERM.
 	stopTimeout = 6 * time.Second
 )
@@ -44,6 +47,7 @@
 	{"delay a host", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.delay(ctx, r) }},
 	{"reset a host's connections", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.network.reset(i.randomHost(r)) }},
 	{"slow a server", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.slowBackend(ctx, r) }},
+	{"limit a server", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.limitBackend(ctx, r) }},
 	{"truncate a server's answers", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.randomBackend(r).FailNext(1 + r.IntN(10)) }},
 	{"replace a server", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.replaceBackend(r) }},
 	{"change the configuration", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.submit(ctx, r) }},
@@ -253,6 +257,14 @@
 	}
 }
 
+// limitBackend makes a random backend server name a limit of up to maximumLimit requests a second.
+func (i *faultInjector) limitBackend(ctx context.Context, r *rand.Rand) {
+	b := i.randomBackend(r)
+	b.NameLimit(fmt.Sprint(r.IntN(maximumLimit + 1)))
+	sleep(ctx, randomFaultTime(r))
+	b.EndLimit()
+}
+
 // slowBackend delays a random backend server's answers by up to 1 s.
 func (i *faultInjector) slowBackend(ctx context.Context, r *rand.Rand) {
 	b := i.randomBackend(r)
