A request is refused at once while no dock reaches servers

What callers saw: with all docks cut off, a request was offered to other docks in vain, then held for 300 ms until no connection could be opened, and ended as failed, though it had not run.

Cause: after the other docks had refused it, the dock tried the servers itself, of which it knows that it reaches none.

Change: it is refused then, as not run, with a time to return.

Evidence: TestRequestWaitsThoughNoDockReachesServers failed before (Failed, coverage).

--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -110,17 +110,21 @@
 	f.Configure(table)
 }
 
-// call sends a request to a dock and reports whether it was answered completely.
-func (d *detachment) call(dock int, path, id string) bool {
+// handle sends a request to a dock and returns its outcome.
+func (d *detachment) handle(dock int, path, id string) forwarder.Outcome {
 	method := http.MethodGet
 	if path == "/one/" {
 		method = http.MethodPost
 	}
-	o := d.docks[dock].Handle(context.Background(), &forwarder.Request{
+	return d.docks[dock].Handle(context.Background(), &forwarder.Request{
 		Request: sender.Request{ID: id, Method: method, Target: path, Host: "a.example", Header: http.Header{"Request": {id}}},
 		Path:    path, Arrived: time.Now(), Timeout: time.Second,
 	})
-	switch o := o.(type) {
+}
+
+// call sends a request to a dock and reports whether it was answered completely.
+func (d *detachment) call(dock int, path, id string) bool {
+	switch o := d.handle(dock, path, id).(type) {
 	case forwarder.Answer:
 		return o.Reply.Status == http.StatusOK
 	case forwarder.Gathered:
@@ -193,6 +197,33 @@
 	assert.Assert(t, d.totalRequests()-before <= 2*4+1, "%d requests", d.totalRequests()-before)
 }
 
+// TestRequestWaitsThoughNoDockReachesServers cuts all docks off. Their callers must be refused at once,
+// and served as soon as the servers can be reached.
+func TestRequestWaitsThoughNoDockReachesServers(t *testing.T) {
+	d := newDetachment(t, 8)
+	d.callAll(500 * time.Millisecond)
+	for _, l := range d.links {
+		l.set(linkSilent)
+	}
+	d.callAll(settleTime)
+	for _, path := range []string{"/all/", "/one/"} {
+		began := time.Now()
+		for i := range 10 {
+			o := d.handle(i%detachedDocks, path, fmt.Sprint(path, i))
+			r := expect[forwarder.Refused](t, o)
+			assert.Equal(t, r.Reason, forwarder.ReasonNoServer)
+			assert.Assert(t, r.After > 0)
+		}
+		assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%s", time.Since(began))
+	}
+	for _, l := range d.links {
+		l.set(linkUp)
+	}
+	d.callAll(settleTime)
+	served, sent := d.callAll(time.Second)
+	assert.Assert(t, share(served[:], sent[:]) > 0.95, "%v of %v", served, sent)
+}
+
 // totalRequests returns the number of requests that arrived at all servers.
 func (d *detachment) totalRequests() int {
 	sum := 0
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -164,6 +164,7 @@
 		if o := q.relay(0); o != nil {
 			return o
 		}
+		return Refused{After: f.retryAfter(), Reason: ReasonNoServer}
 	}
 	if !f.admit(q) {
 		return Refused{After: congestedRetryAfter, Reason: ReasonCongested}
