--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -58,6 +58,8 @@
 	Missing  int   `json:"missing"`
 	Jobs     []Job `json:"jobs"`
 	Count    int   `json:"count"`
+	// Relays are the docks that the request was handed over to.
+	Relays []string `json:"relays"`
 	// Owners are the docks that did not deliver the results of all their shards.
 	Owners   []Owner `json:"owners"`
 	Slowness float64 `json:"slowness"`
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -89,6 +89,26 @@
 {"level":"info","program":"routedock","host":"d2","request":"r9","route":"sweep","configuration":4,"elapsed_ms":64,"shards":10,"missing":1,"jobs":[{"service":"plates","attempts":[{"cause":"first","server":"s1","score":0.8,"seen_ms_ago":20,"at_ms":0,"outcome":"running"}]}],"time":"2026-01-01T10:00:02.068Z","message":"batch"}
 `
 
+// TestExplanationNamesTheDocksThatARequestWasHandedOverTo checks that the line of the other dock is
+// explained with it, and the cut and the limits before it.
+func TestExplanationNamesTheDocksThatARequestWasHandedOverTo(t *testing.T) {
+	l := explainer.NewLog()
+	assert.NilError(t, l.Add("d1", strings.NewReader(`{"host":"d1","count":5,"reached":0,"time":"2026-01-01T10:00:00Z","message":"cut off from the servers"}
+{"host":"d1","request":"r1","route":"sweep","configuration":4,"outcome":"refused","reason":"limited","elapsed_ms":4,"timeout_ms":1000,"retry_after_ms":500,"relays":["d2","d3"],"time":"2026-01-01T10:00:02Z","message":"request"}
+`)))
+	assert.NilError(t, l.Add("d3", strings.NewReader(`{"host":"d3","server":"s1","service":"plates","limit":1.5,"time":"2026-01-01T10:00:01Z","message":"server limited"}
+{"host":"d3","request":"r1","route":"sweep","configuration":4,"outcome":"refused","reason":"limited","elapsed_ms":1,"timeout_ms":990,"retry_after_ms":500,"jobs":[{"service":"plates","denied":"limited"}],"time":"2026-01-01T10:00:02Z","message":"request"}
+`)))
+	s, err := l.Explain("r1")
+	assert.NilError(t, err)
+	var b strings.Builder
+	s.Write(&b)
+	assert.Assert(t, strings.Contains(b.String(), "refused (limited) after 4 of 1000 ms, route sweep of configuration 4, handed over to d2, d3, told to come back after 500 ms"), b.String())
+	assert.Assert(t, strings.Contains(b.String(), "d3: request r1 refused (limited) after 1 of 990 ms"), b.String())
+	assert.Assert(t, strings.Contains(b.String(), "cut off from the servers"), b.String())
+	assert.Assert(t, strings.Contains(b.String(), "server limited, server s1, service plates, requests a second 1.5"), b.String())
+}
+
 func TestExplanationIncludesOwnersOfShards(t *testing.T) {
 	l := explainer.NewLog()
 	assert.NilError(t, l.Add("docks.log", strings.NewReader(ownedLog)))
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 
 	"banyandock.example/banyandock/internal/recorder"
 )
@@ -51,6 +52,9 @@
 	if l.Missing > 0 {
 		text += fmt.Sprintf(", %d of %d shards missing", l.Missing, l.Shards)
 	}
+	if len(l.Relays) > 0 {
+		text += ", handed over to " + strings.Join(l.Relays, ", ")
+	}
 	if l.Fingerprint != 0 {
 		text += fmt.Sprintf(", fingerprint %d", l.Fingerprint)
 	}
