--- a/internal/encoder/claimoutcome_enumer.go
+++ b/internal/encoder/claimoutcome_enumer.go
@@ -24,17 +24,17 @@
 // Re-run the stringer command to generate them again.
 func _ClaimOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[ClaimGranted-(0)]
-	_ = x[ClaimHeld-(1)]
-	_ = x[ClaimSettled-(2)]
-	_ = x[ClaimMismatch-(3)]
-	_ = x[ClaimTooOld-(4)]
-	_ = x[ClaimInDoubt-(5)]
-	_ = x[ClaimNoQuorum-(6)]
-	_ = x[ClaimUndated-(7)]
-	_ = x[ClaimAhead-(8)]
-	_ = x[ClaimFull-(9)]
-	_ = x[ClaimReleased-(10)]
+	_ = x[ClaimGranted-0]
+	_ = x[ClaimHeld-1]
+	_ = x[ClaimSettled-2]
+	_ = x[ClaimMismatch-3]
+	_ = x[ClaimTooOld-4]
+	_ = x[ClaimInDoubt-5]
+	_ = x[ClaimNoQuorum-6]
+	_ = x[ClaimUndated-7]
+	_ = x[ClaimAhead-8]
+	_ = x[ClaimFull-9]
+	_ = x[ClaimReleased-10]
 }
 
 var _ClaimOutcomeValues = []ClaimOutcome{ClaimGranted, ClaimHeld, ClaimSettled, ClaimMismatch, ClaimTooOld, ClaimInDoubt, ClaimNoQuorum, ClaimUndated, ClaimAhead, ClaimFull, ClaimReleased}
--- a/internal/encoder/hoststate_enumer.go
+++ b/internal/encoder/hoststate_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _HostStateNoOp() {
 	var x [1]struct{}
-	_ = x[HostJoining-(0)]
-	_ = x[HostReady-(1)]
-	_ = x[HostDraining-(2)]
+	_ = x[HostJoining-0]
+	_ = x[HostReady-1]
+	_ = x[HostDraining-2]
 }
 
 var _HostStateValues = []HostState{HostJoining, HostReady, HostDraining}
--- a/internal/encoder/missingreason_enumer.go
+++ b/internal/encoder/missingreason_enumer.go
@@ -24,15 +24,15 @@
 // Re-run the stringer command to generate them again.
 func _MissingReasonNoOp() {
 	var x [1]struct{}
-	_ = x[MissingNoReplica-(0)]
-	_ = x[MissingOverload-(1)]
-	_ = x[MissingDeadline-(2)]
-	_ = x[MissingVersion-(3)]
-	_ = x[MissingCrash-(4)]
-	_ = x[MissingQuarantine-(5)]
-	_ = x[MissingOwner-(6)]
-	_ = x[MissingServerError-(7)]
-	_ = x[MissingAbandoned-(8)]
+	_ = x[MissingNoReplica-0]
+	_ = x[MissingOverload-1]
+	_ = x[MissingDeadline-2]
+	_ = x[MissingVersion-3]
+	_ = x[MissingCrash-4]
+	_ = x[MissingQuarantine-5]
+	_ = x[MissingOwner-6]
+	_ = x[MissingServerError-7]
+	_ = x[MissingAbandoned-8]
 }
 
 var _MissingReasonValues = []MissingReason{MissingNoReplica, MissingOverload, MissingDeadline, MissingVersion, MissingCrash, MissingQuarantine, MissingOwner, MissingServerError, MissingAbandoned}
--- a/internal/encoder/presence_enumer.go
+++ b/internal/encoder/presence_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _PresenceNoOp() {
 	var x [1]struct{}
-	_ = x[PresenceReady-(0)]
-	_ = x[PresenceDraining-(1)]
-	_ = x[PresenceGone-(2)]
-	_ = x[PresenceLost-(3)]
+	_ = x[PresenceReady-0]
+	_ = x[PresenceDraining-1]
+	_ = x[PresenceGone-2]
+	_ = x[PresenceLost-3]
 }
 
 var _PresenceValues = []Presence{PresenceReady, PresenceDraining, PresenceGone, PresenceLost}
--- a/internal/encoder/relayoutcome_enumer.go
+++ b/internal/encoder/relayoutcome_enumer.go
@@ -24,11 +24,11 @@
 // Re-run the stringer command to generate them again.
 func _RelayOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[RelayRefused-(0)]
-	_ = x[RelayFailed-(1)]
-	_ = x[RelayAnswered-(2)]
-	_ = x[RelayGathered-(3)]
-	_ = x[RelayNoRoute-(4)]
+	_ = x[RelayRefused-0]
+	_ = x[RelayFailed-1]
+	_ = x[RelayAnswered-2]
+	_ = x[RelayGathered-3]
+	_ = x[RelayNoRoute-4]
 }
 
 var _RelayOutcomeValues = []RelayOutcome{RelayRefused, RelayFailed, RelayAnswered, RelayGathered, RelayNoRoute}
--- a/internal/encoder/serverprotocol_enumer.go
+++ b/internal/encoder/serverprotocol_enumer.go
@@ -24,8 +24,8 @@
 // Re-run the stringer command to generate them again.
 func _ServerProtocolNoOp() {
 	var x [1]struct{}
-	_ = x[ProtocolHTTP2-(0)]
-	_ = x[ProtocolHTTP1-(1)]
+	_ = x[ProtocolHTTP2-0]
+	_ = x[ProtocolHTTP1-1]
 }
 
 var _ServerProtocolValues = []ServerProtocol{ProtocolHTTP2, ProtocolHTTP1}
--- a/internal/encoder/serverstate_enumer.go
+++ b/internal/encoder/serverstate_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _ServerStateNoOp() {
 	var x [1]struct{}
-	_ = x[ServerCold-(0)]
-	_ = x[ServerReady-(1)]
-	_ = x[ServerDraining-(2)]
+	_ = x[ServerCold-0]
+	_ = x[ServerReady-1]
+	_ = x[ServerDraining-2]
 }
 
 var _ServerStateValues = []ServerState{ServerCold, ServerReady, ServerDraining}
--- a/internal/encoder/settleoutcome_enumer.go
+++ b/internal/encoder/settleoutcome_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _SettleOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[SettleAccepted-(0)]
-	_ = x[SettleRefused-(1)]
-	_ = x[SettleUnknown-(2)]
+	_ = x[SettleAccepted-0]
+	_ = x[SettleRefused-1]
+	_ = x[SettleUnknown-2]
 }
 
 var _SettleOutcomeValues = []SettleOutcome{SettleAccepted, SettleRefused, SettleUnknown}
--- a/internal/encoder/submitoutcome_enumer.go
+++ b/internal/encoder/submitoutcome_enumer.go
@@ -24,12 +24,12 @@
 // Re-run the stringer command to generate them again.
 func _SubmitOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[SubmitAccepted-(0)]
-	_ = x[SubmitConflict-(1)]
-	_ = x[SubmitSuperseded-(2)]
-	_ = x[SubmitInvalid-(3)]
-	_ = x[SubmitUnknown-(4)]
-	_ = x[SubmitNotLeader-(5)]
+	_ = x[SubmitAccepted-0]
+	_ = x[SubmitConflict-1]
+	_ = x[SubmitSuperseded-2]
+	_ = x[SubmitInvalid-3]
+	_ = x[SubmitUnknown-4]
+	_ = x[SubmitNotLeader-5]
 }
 
 var _SubmitOutcomeValues = []SubmitOutcome{SubmitAccepted, SubmitConflict, SubmitSuperseded, SubmitInvalid, SubmitUnknown, SubmitNotLeader}
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -24,18 +24,18 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[ReasonNone-(0)]
-	_ = x[ReasonNoConfiguration-(1)]
-	_ = x[ReasonNoServer-(2)]
-	_ = x[ReasonNotRun-(3)]
-	_ = x[ReasonBudget-(4)]
-	_ = x[ReasonCongested-(5)]
-	_ = x[ReasonLost-(6)]
-	_ = x[ReasonCoverage-(7)]
-	_ = x[ReasonTimeout-(8)]
-	_ = x[ReasonQuarantined-(9)]
-	_ = x[ReasonLimited-(10)]
-	_ = x[ReasonCallerLeft-(11)]
+	_ = x[ReasonNone-0]
+	_ = x[ReasonNoConfiguration-1]
+	_ = x[ReasonNoServer-2]
+	_ = x[ReasonNotRun-3]
+	_ = x[ReasonBudget-4]
+	_ = x[ReasonCongested-5]
+	_ = x[ReasonLost-6]
+	_ = x[ReasonCoverage-7]
+	_ = x[ReasonTimeout-8]
+	_ = x[ReasonQuarantined-9]
+	_ = x[ReasonLimited-10]
+	_ = x[ReasonCallerLeft-11]
 }
 
 var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonCallerLeft}
