A dock of an older release is not kept busy while a server names a limit

What operators could see during a change of release: while any server names a limit, the leading keeper answers each watch of a dock that does not know of limits at once, so that the dock watches again at once, without end.

Cause: the dock's watch has no digest of the limits, which counted as another list than the keeper's.

Change: an empty list has a digest of its own, and no digest means that the dock does not know of limits.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -108,6 +108,7 @@
 		outlierDetector: locator.NewOutlierDetector(),
 		crashTracker:    locator.NewCrashTracker(),
 		issuer:          limiter.NewIssuer(),
+		limitsDigest:    encoder.NoLimits,
 		docks:           newDockSet(),
 		wakeups:         wakeChannels{changed: make(chan struct{}), urgent: make(chan struct{})},
 	}
--- a/internal/broadcaster/limit.go
+++ b/internal/broadcaster/limit.go
@@ -41,10 +41,10 @@
 	b.wakeAllWatches()
 }
 
-// limitsDigest identifies what a list of limits says. It is zero for an empty list.
+// limitsDigest identifies what a list of limits says.
 func limitsDigest(limits []encoder.ServerLimit) uint64 {
 	if len(limits) == 0 {
-		return 0
+		return encoder.NoLimits
 	}
 	d := xxhash.New()
 	for _, l := range limits {
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -114,10 +114,10 @@
 	if reply.QuarantinesDigest != request.QuarantinesDigest {
 		reply.Quarantines = b.crashTracker.Quarantines(now)
 	}
-	if s.IsLeader {
+	if s.IsLeader && request.LimitsDigest != 0 {
 		reply.LimitsDigest = b.limitsDigest
 	}
-	if s.IsLeader && reply.LimitsDigest != request.LimitsDigest {
+	if reply.LimitsDigest != 0 && reply.LimitsDigest != request.LimitsDigest {
 		reply.Limits = b.issuer.Limits(now)
 	}
 	if reply.MembersDigest != request.MembersDigest {
@@ -163,6 +163,7 @@
 		return true
 	}
 	hasChanged := reply.MembersDigest != request.MembersDigest || reply.VerdictsDigest != request.VerdictsDigest ||
-		reply.QuarantinesDigest != request.QuarantinesDigest || reply.LimitsDigest != request.LimitsDigest
+		reply.QuarantinesDigest != request.QuarantinesDigest ||
+		(reply.LimitsDigest != 0 && reply.LimitsDigest != request.LimitsDigest)
 	return reply.IsLeader && hasChanged
 }
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -66,7 +66,8 @@
 	FellowsDigest uint64
 	// QuarantinesDigest identifies the list of quarantines that the dock has.
 	QuarantinesDigest uint64
-	// LimitsDigest identifies the list of limits of servers that the dock has.
+	// LimitsDigest identifies the list of limits of servers that the dock has. It is NoLimits for an
+	// empty list, and zero for a dock of a release without limits.
 	LimitsDigest uint64
 	// IsDetached is set if the dock has lost its links to all backend servers. DetachVersion increases
 	// with each change of it.
@@ -75,6 +76,9 @@
 	Wait          time.Duration
 }
 
+// NoLimits is the digest of an empty list of limits.
+const NoLimits = 1
+
 // WatchReply answers a WatchRequest.
 type WatchReply struct {
 	Keeper identifier.Incarnation
@@ -111,7 +115,7 @@
 	Quarantines       []Quarantine
 	QuarantinesDigest uint64
 	// Limits lists, on the leader, the limits that servers name. It is empty if the request has the
-	// same digest.
+	// same digest. LimitsDigest is zero if the keeper does not lead or the dock knows no limits.
 	Limits       []ServerLimit `msgpack:",omitempty"`
 	LimitsDigest uint64        `msgpack:",omitempty"`
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -140,6 +140,7 @@
 		observed: make(chan struct{}, 1),
 
 		detachChanged: make(chan struct{}, 1),
+		limitsDigest:  encoder.NoLimits,
 	}
 	w.SetSeeds(seeds)
 	w.tasks.Add(3)
@@ -311,7 +312,7 @@
 		w.slowServersDigest = reply.VerdictsDigest
 		w.sink.SetSlowServers(reply.Verdicts)
 	}
-	if reply.IsLeader && reply.LimitsDigest != w.limitsDigest {
+	if reply.LimitsDigest != 0 && reply.LimitsDigest != w.limitsDigest {
 		w.limitsDigest = reply.LimitsDigest
 		w.sink.MergeLimits(reply.Limits)
 	}
