--- a/soak/callers.go
+++ b/soak/callers.go
@@ -69,7 +69,7 @@
 
 // sendRequest sends one request to a dock and records it with its answer.
 func (c *caller) sendRequest(ctx context.Context, client *http.Client, dock, n int) standin.Answer {
-	all := routes(0)
+	all := c.deployment.routes(0)
 	request := callerRequest{id: fmt.Sprintf("%08x-%d-%d", c.random.Uint32(), c.number, n), route: all[c.random.IntN(3)]}
 	timeout := callerDeadline + callerGracePeriod
 	isAbandoned := c.random.Float64() < abandonShare
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callerDeadline+callerGracePeriod)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	request := callerRequest{id: fmt.Sprintf("probe-%d", c.sent.Add(1)), route: routes(0)[0]}
+	request := callerRequest{id: fmt.Sprintf("probe-%d", c.sent.Add(1)), route: c.deployment.routes(0)[0]}
 	request.answer = standin.SendRequest(ctx, client, c.deployment.publicAddress(dock, portCaller).String(), request.route.Prefix+"x", request.id, callerDeadline)
 	c.deployment.history.recordRequest(request)
 	return request.answer.IsSuccess() && request.answer.Missing == 0
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -22,16 +22,21 @@
 
 // newCrashRun starts a deployment that serves requests. The seed determines the docks that get them.
 func newCrashRun(t *testing.T, seed uint64, path string) *crashRun {
+	return newCrashRunWith(t, seed, path, standardLayout())
+}
+
+// newCrashRunWith is like newCrashRun with another layout of the deployment.
+func newCrashRunWith(t *testing.T, seed uint64, path string, l layout) *crashRun {
 	secondOctet, thirdOctet := reserveAddresses(t)
 	s := &soak{t: t, seed: seed, folder: t.TempDir(), startedAt: time.Now()}
-	d, err := startDeployment(s.folder, programs, secondOctet, thirdOctet)
+	d, err := startDeployment(s.folder, programs, secondOctet, thirdOctet, l)
 	s.deployment = d
 	t.Cleanup(func() {
 		d.close()
 		s.keepLogs()
 	})
 	assert.NilError(t, err)
-	c := &crashRun{t: t, startedAt: s.startedAt, crasher: crasher{deployment: d, random: rand.New(rand.NewPCG(seed, 0)), path: path}}
+	c := &crashRun{t: t, startedAt: s.startedAt, crasher: crasher{deployment: d, random: rand.New(rand.NewPCG(seed, 0)), path: path, patience: callerDeadline + callerGracePeriod}}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	d.submit(ctx, c.random)
@@ -39,18 +44,18 @@
 	return c
 }
 
-// check fails the test if the request reached more than maximumLateCrashes servers later than
-// stabilityWindow after its third crash.
+// check fails the test if the request reached servers more than maximumLateCrashes times later than
+// stabilityWindow after its third crash. That is counted from when the third run began.
 func (c *crashRun) check() {
 	c.t.Helper()
 	list := c.crashes()
 	assert.Assert(c.t, len(list) >= toleratedCrashes, "the request reached only %d servers", len(list))
-	late := crashesAfter(list, list[toleratedCrashes-1].At.Add(stabilityWindow))
+	late := executionsAfter(c.arrivals(), list[toleratedCrashes-1].At.Add(c.deployment.layout.crashDelay+stabilityWindow))
 	for i, e := range list {
 		c.t.Logf("%6.2f s  crash %d: %s at %s of %s", e.At.Sub(c.startedAt).Seconds(), i+1, e.Request, e.Server, e.Service)
 	}
-	c.t.Logf("sent %d times, refused %d times, reached %d servers, %d of them late", c.sent, c.refused, len(list), len(late))
-	assert.Assert(c.t, len(late) <= maximumLateCrashes, "%d crashes, %d of them later than %s after the third", len(list), len(late), stabilityWindow)
+	c.t.Logf("sent %d times, refused %d times, crashed %d servers, reached servers %d times late", c.sent, c.refused, len(list), len(late))
+	assert.Check(c.t, len(late) <= maximumLateCrashes, "%d crashes, %d arrivals later than %s after the third", len(list), len(late), stabilityWindow)
 }
 
 // wipeAll kills all hosts at the same moment and erases the disks of toleratedHosts keepers before it
--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -30,7 +30,9 @@
 	deployment *deployment
 	random     *rand.Rand
 	path       string
-	sent       int
+	// patience is how long a caller waits for an answer before it disconnects.
+	patience time.Duration
+	sent     int
 
 	// Guarded by mutex.
 	mutex   sync.Mutex
@@ -55,9 +57,9 @@
 
 // sendOne sends the request to a dock and records it with its answer.
 func (c *crasher) sendOne(ctx context.Context, client *http.Client, dock int, id string) {
-	ctx, cancel := context.WithTimeout(ctx, callerDeadline+callerGracePeriod)
+	ctx, cancel := context.WithTimeout(ctx, c.patience)
 	defer cancel()
-	request := callerRequest{id: id, route: routeOf(c.path)}
+	request := callerRequest{id: id, route: c.deployment.routeOf(c.path)}
 	request.answer = standin.SendRequest(ctx, client, c.deployment.publicAddress(dock, portCaller).String(), c.path, id, callerDeadline)
 	if request.answer.Status == 0 {
 		request.abandonedAt = time.Now()
@@ -72,16 +74,22 @@
 
 // crashes returns the executions of the request, each of which crashed a server, in the order of their
 // times.
-func (c *crasher) crashes() []standin.Execution {
+func (c *crasher) crashes() []standin.Execution { return c.collect(c.deployment.history.runsOf) }
+
+// arrivals returns the times at which the request reached servers, whether they ran it or not.
+func (c *crasher) arrivals() []standin.Execution { return c.collect(c.deployment.history.arrivalsOf) }
+
+// collect returns what a function returns for each sending of the request, in the order of the times.
+func (c *crasher) collect(of func(id string) []standin.Execution) []standin.Execution {
 	list := []standin.Execution{}
 	for i := 1; i <= c.sent; i++ {
-		list = append(list, c.deployment.history.runsOf(c.id(i))...)
+		list = append(list, of(c.id(i))...)
 	}
 	slices.SortFunc(list, func(a, b standin.Execution) int { return a.At.Compare(b.At) })
 	return list
 }
 
-// crashesAfter returns the crashes from a time on.
-func crashesAfter(list []standin.Execution, start time.Time) []standin.Execution {
+// executionsAfter returns the executions from a time on.
+func executionsAfter(list []standin.Execution, start time.Time) []standin.Execution {
 	return slices.DeleteFunc(slices.Clone(list), func(e standin.Execution) bool { return e.At.Before(start) })
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -18,11 +18,10 @@
 	"banyandock.example/banyandock/platform/standin"
 )
 
-// Sizes of a deployment. There are enough shards and docks for docks to own shards.
+// Sizes of a deployment.
 const (
 	keeperCount  = 5
 	dockCount    = 8
-	shardCount   = 40
 	replicaCount = 2
 	// crashServerCount is greater than the number of servers that a request may crash.
 	crashServerCount = 10
@@ -59,6 +58,32 @@
 	serviceCrash = "crash"
 )
 
+// layout describes what differs between the deployments of the soak's tests.
+type layout struct {
+	// crashRoute is the route of the requests that crash a server of each shard. Its shards are those
+	// of the deployment.
+	crashRoute standin.Route
+	// shards is the number of shards.
+	shards int
+	// crashDelay is how long a request runs before it crashes its server, and downTime how long the
+	// server is down then. If isSilentCrash is set, the server does not close its address before
+	// downTime has passed.
+	crashDelay    time.Duration
+	downTime      time.Duration
+	isSilentCrash bool
+	// crashes reports whether requests crash the servers of a service. If it is nil, they crash all.
+	crashes func(service string) bool
+}
+
+// standardLayout is the layout of the deployments that get random faults. There are enough shards and
+// docks for docks to own shards.
+func standardLayout() layout {
+	return layout{
+		shards: 40, downTime: crashDownTime,
+		crashRoute: standin.Route{Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, RowLimit: 5, Coverage: 0.9},
+	}
+}
+
 // crashPath is the start of the paths of requests that crash backend servers.
 const crashPath = "/crash"
 
@@ -69,6 +94,7 @@
 	programs    string
 	secondOctet int
 	thirdOctet  int
+	layout      layout
 	network     *network
 	history     *history
 	client      *http.Client
@@ -87,9 +113,9 @@
 // startDeployment starts the processes and backend servers of a deployment. Its loopback addresses
 // have the given second octet and third octets from thirdOctet to thirdOctet+2. If there is an
 // error, the returned deployment still has to be closed.
-func startDeployment(folder, programs string, secondOctet, thirdOctet int) (*deployment, error) {
+func startDeployment(folder, programs string, secondOctet, thirdOctet int, l layout) (*deployment, error) {
 	d := &deployment{
-		folder: folder, programs: programs, secondOctet: secondOctet, thirdOctet: thirdOctet, history: newHistory(),
+		layout: l, folder: folder, programs: programs, secondOctet: secondOctet, thirdOctet: thirdOctet, history: newHistory(),
 		client: &http.Client{Timeout: callTimeout}, processes: map[int]*process{},
 	}
 	d.network = newNetwork(d.hostOf)
@@ -98,8 +124,8 @@
 			return d, err
 		}
 	}
-	for i := range shardCount * replicaCount {
-		d.addBackend(fmt.Sprintf("shard-%d", i%shardCount))
+	for i := range l.shards * replicaCount {
+		d.addBackend(shardName(i % l.shards))
 	}
 	for range replicaCount {
 		d.addBackend(serviceSingle)
@@ -205,13 +231,16 @@
 	d.addBackendAt(service, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(d.secondOctet), byte(d.thirdOctet + 2), 1}), 0))
 }
 
-// restartBackend replaces a backend server that has crashed by a new one at its address, after
-// crashDownTime.
+// restartBackend replaces a backend server that has crashed by a new one at its address, after the
+// layout's downTime.
 func (d *deployment) restartBackend(crashed *standin.Backend) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.backends = slices.DeleteFunc(d.backends, func(b *standin.Backend) bool { return b == crashed })
-	time.AfterFunc(crashDownTime, func() { d.addBackendAt(crashed.Service(), crashed.Address()) })
+	time.AfterFunc(d.layout.downTime, func() {
+		crashed.Close()
+		d.addBackendAt(crashed.Service(), crashed.Address())
+	})
 }
 
 // addBackendAt starts a backend server of a service at an address, unless the deployment has been
@@ -227,8 +256,14 @@
 		return
 	}
 	d.serverNumber++
-	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, heartbeatInterval, d.history.recordRun,
-		standin.WithCrash(crashPath, d.restartBackend))
+	options := []standin.Option{standin.WithMisdirected(d.history.recordMisdirected)}
+	if l := d.layout; l.crashes == nil || l.crashes(service) {
+		options = append(options, standin.WithCrash(crashPath, d.restartBackend), standin.WithCrashDelay(l.crashDelay))
+		if l.isSilentCrash {
+			options = append(options, standin.WithSilentCrash())
+		}
+	}
+	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, heartbeatInterval, d.history.recordRun, options...)
 	if err != nil {
 		d.history.expect(false, "backend server: %v", err)
 		return
@@ -254,26 +289,31 @@
 	return d.backends[random.IntN(len(d.backends))]
 }
 
+// shardName returns the name of the service of a shard.
+func shardName(i int) string { return fmt.Sprintf("shard-%d", i) }
+
 // routes returns the routes of a configuration version. The prefix of the last route contains the
 // version.
-func routes(version int) []standin.Route {
+func (d *deployment) routes(version int) []standin.Route {
 	shards := []string{}
-	for i := range shardCount {
-		shards = append(shards, fmt.Sprintf("shard-%d", i))
+	for i := range d.layout.shards {
+		shards = append(shards, shardName(i))
 	}
+	crashAll := d.layout.crashRoute
+	crashAll.Prefix, crashAll.Shards = crashPath+"-all/", shards
 	return []standin.Route{
 		{Prefix: "/all/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Shards: shards, RowLimit: 5, Coverage: 0.9},
 		{Prefix: "/single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceSingle},
 		{Prefix: "/once/", NonIdempotent: true, Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceOnce},
-		{Prefix: crashPath + "-all/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Shards: shards, RowLimit: 5, Coverage: 0.9},
+		crashAll,
 		{Prefix: crashPath + "-single/", Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, Service: serviceCrash},
 		{Prefix: fmt.Sprintf("/version-%d/", version), Timeout: 2 * time.Second, Service: serviceSingle},
 	}
 }
 
 // routeOf returns the route of a path in all configuration versions.
-func routeOf(path string) standin.Route {
-	all := routes(0)
+func (d *deployment) routeOf(path string) standin.Route {
+	all := d.routes(0)
 	return all[slices.IndexFunc(all, func(r standin.Route) bool { return strings.HasPrefix(path, r.Prefix) })]
 }
 
@@ -284,7 +324,7 @@
 	d.version += 1 + random.IntN(3)
 	version := d.version
 	d.mutex.Unlock()
-	text := standin.Configuration(version, routes(version))
+	text := standin.Configuration(version, d.routes(version))
 	d.history.recordSubmission(version, text)
 	for ctx.Err() == nil {
 		host := 1 + random.IntN(keeperCount)
--- a/soak/history.go
+++ b/soak/history.go
@@ -40,8 +40,11 @@
 // concurrent use.
 type history struct {
 	// Guarded by mutex.
-	mutex          sync.Mutex
-	runs           map[string][]standin.Execution
+	mutex sync.Mutex
+	runs  map[string][]standin.Execution
+	// misdirected holds the requests that reached a server which did not run them, because they were
+	// addressed to another one.
+	misdirected    map[string][]standin.Execution
 	requests       []callerRequest
 	violations     []string
 	violationCount int
@@ -54,7 +57,7 @@
 
 // newHistory returns an empty history.
 func newHistory() *history {
-	return &history{runs: map[string][]standin.Execution{}, submitted: map[int]string{}}
+	return &history{runs: map[string][]standin.Execution{}, misdirected: map[string][]standin.Execution{}, submitted: map[int]string{}}
 }
 
 // recordRun records that a backend server ran a request.
@@ -64,6 +67,21 @@
 	h.runs[r.Request] = append(h.runs[r.Request], r)
 }
 
+// recordMisdirected records that a backend server rejected a request to another server.
+func (h *history) recordMisdirected(r standin.Execution) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.misdirected[r.Request] = append(h.misdirected[r.Request], r)
+}
+
+// arrivalsOf returns the runs of a request, and the times at which it reached servers that did not run
+// it.
+func (h *history) arrivalsOf(id string) []standin.Execution {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.Concat(h.runs[id], h.misdirected[id])
+}
+
 // runsAt returns the times at which a backend server ran requests, in their order.
 func (h *history) runsAt(server string) []time.Time {
 	h.mutex.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,9 @@
 var (
 	firstSeed = flag.Uint64("soak.seed", 0, "the first seed instead of the fixed ones")
 	seeds     = flag.Int("soak.seeds", 1, "how many seeds to run from the first one on")
-	faultTime = flag.Duration("soak.time", 8*time.Second, "how long each seed disturbs the deployment")
+	// programsFlag allows to compare releases.
+	programsFlag = flag.String("soak.programs", "", "the folder of built programs that run instead of those of the working tree")
+	faultTime    = flag.Duration("soak.time", 8*time.Second, "how long each seed disturbs the deployment")
 )
 
 // regressions lists the seeds that run by default. Those that failed before have the cause.
@@ -56,6 +58,10 @@
 }
 
 func buildAndRun(m *testing.M) int {
+	if *programsFlag != "" {
+		programs = *programsFlag
+		return m.Run()
+	}
 	folder, err := os.MkdirTemp("", "banyandock-soak-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -123,7 +129,7 @@
 	secondOctet, thirdOctet := reserveAddresses(s.t)
 	s.folder = s.t.TempDir()
 	s.startedAt = time.Now()
-	d, err := startDeployment(s.folder, programs, secondOctet, thirdOctet)
+	d, err := startDeployment(s.folder, programs, secondOctet, thirdOctet, standardLayout())
 	s.deployment = d
 	s.t.Cleanup(func() {
 		d.close()
@@ -145,7 +151,7 @@
 	}
 	crashers := []*crasher{}
 	for i, path := range []string{crashPath + "-all/x", crashPath + "-single/x"} {
-		c := &crasher{deployment: d, random: rand.New(rand.NewPCG(s.seed, uint64(callerCount+i+1))), path: path}
+		c := &crasher{deployment: d, random: rand.New(rand.NewPCG(s.seed, uint64(callerCount+i+1))), path: path, patience: callerDeadline + callerGracePeriod}
 		crashers = append(crashers, c)
 		callers.Go(func() { c.send(ctx, time.Minute, longCrashPause/soakCrashDivisor) })
 	}
@@ -175,8 +181,8 @@
 func (s *soak) checkCrashes(crashers []*crasher, faultsEnded time.Time) {
 	for _, c := range crashers {
 		list := c.crashes()
-		early := len(list) - len(crashesAfter(list, faultsEnded))
-		late := len(crashesAfter(list, faultsEnded.Add(stabilityWindow)))
+		early := len(list) - len(executionsAfter(list, faultsEnded))
+		late := len(executionsAfter(list, faultsEnded.Add(stabilityWindow)))
 		s.log("%s: sent %d times, refused %d times, %d crashes, %d of them late", c.path, c.sent, c.refused, len(list), late)
 		s.deployment.history.expect(early < toleratedCrashes || late <= maximumLateCrashes, "%s crashed %d servers, then %d more", c.path, early, late)
 	}
