Log which requests a server had not answered when it ended

Cause of the blindness: a dock looks for a crash only while the attempt is 'lost', so no line told a request that was given up from one whose server hung.

It is joined with refused connections, 421 of another server at the address, and with the ends that the keepers' directory knows: heartbeats that cease, a later start, another server at the address of one that had not left. Nothing is held against requests yet.

--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -42,8 +42,14 @@
 	Sequence uint64 `msgpack:"q,omitempty"`
 	// Cold is the remaining time, as of sending, for which the server is slow after its start.
 	Cold time.Duration `msgpack:"c,omitempty"`
-	// Silent is true if the keeper has missed several heartbeats.
+	// Silent is true if the keeper has missed several heartbeats, or if another server has taken over
+	// the address of one that had not left.
 	Silent bool `msgpack:"n,omitempty"`
+	// SilentFor is the time, as of sending, since the last heartbeat of a silent server. It is zero in
+	// registrations of an older release.
+	SilentFor time.Duration `msgpack:"f,omitempty"`
+	// EndWindow is how long after its last heartbeat a silent server ended at the latest.
+	EndWindow time.Duration `msgpack:"w,omitempty"`
 }
 
 // WatchRequest is a long poll for the changes since an earlier reply. The keeper answers at
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"banyandock.example/banyandock/internal/accuser"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 )
@@ -94,6 +95,7 @@
 	start := f.clock.Now()
 	flight := f.selector.Begin(start, a.target.ID, a.typicalLatency)
 	f.detachment.sent(start, a.target.ID)
+	run := f.accuser.Begin(start, a.accusable())
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
 	now := f.clock.Now()
 	r := attemptResult{attempt: a, elapsed: now.Sub(start), err: err}
@@ -108,12 +110,38 @@
 		f.reporter.countAttempt(a.job.service, r.outcome)
 	}
 	f.onObserved()
+	a.settle(now, run, r)
 	a.deliver(r)
 	if r.outcome == AttemptLost {
 		a.confirmCrash(destination)
 	}
 }
 
+// accusable returns what is held against the request if the server ends before it has answered.
+func (a *attempt) accusable() accuser.Run {
+	q := a.job.query
+	return accuser.Run{
+		Start:   accuser.Start{Server: a.target.ID, Born: a.target.Born},
+		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
+	}
+}
+
+// settle records whether the server has answered.
+func (a *attempt) settle(now time.Time, run *accuser.Run, r attemptResult) {
+	f := a.job.query.forwarder
+	switch {
+	case r.reply != nil && r.reply.Metadata.IsWrongServer:
+		f.accuser.NotSent(run)
+		f.serverEnded(accuser.End{Start: run.Start, Latest: now}, evidenceReplaced)
+	case r.reply != nil:
+		f.accuser.Answered(now, run)
+	case errors.Is(r.err, sender.ErrNotSent):
+		f.accuser.NotSent(run)
+	default:
+		f.accuser.Left(now, run)
+	}
+}
+
 // deliver passes the result to the query unless that has finished.
 func (a *attempt) deliver(r attemptResult) {
 	q := a.job.query
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"banyandock.example/banyandock/internal/accuser"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -103,6 +104,10 @@
 	// owners assigns the shards to the docks that send to them.
 	owners       *owners
 	crashTracker *crashTracker
+	// accuser holds the requests that servers have not answered, and endChecker checks whether these
+	// servers have ended.
+	accuser    *accuser.Accuser
+	endChecker *endChecker
 	// tokens permit requests to servers that name limits.
 	tokens *tokens
 	// detachment finds out whether this dock can reach servers, and relays holds the docks that can.
@@ -150,13 +155,16 @@
 		routeStates:      map[matcher.RouteName]*routeState{},
 		batches:          map[batchKey]*batch{},
 		crashTracker:     newCrashTracker(),
+		accuser:          accuser.New(),
 		owners:           &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspectedUntil: map[netip.AddrPort]time.Time{}},
 	}
 	f.tokens = &tokens{forwarder: f}
 	f.detachment = newDetachment(f)
 	f.relays = &relays{inFlight: map[netip.AddrPort]int{}}
-	f.tasks.Add(1)
+	f.endChecker = &endChecker{forwarder: f, checking: map[accuser.Start]bool{}}
+	f.tasks.Add(2)
 	go f.detachment.loop()
+	go f.endChecker.loop()
 	return f
 }
 
--- a/internal/locator/catalog.go
+++ b/internal/locator/catalog.go
@@ -28,6 +28,8 @@
 // Catalog merges the directories of several keepers. It is not safe for concurrent use.
 type Catalog struct {
 	keepers map[netip.AddrPort]*keeperReport
+	// restarted holds the latest start of each server that has started again since.
+	restarted map[encoder.ServerID]End
 }
 
 // keeperReport holds the servers that one keeper reported.
@@ -40,15 +42,17 @@
 	disconnected time.Time
 }
 
-// timedRegistration is a registration with the time at which the server is expected to be warm.
+// timedRegistration is a registration with the time at which the server is expected to be warm, and
+// that of its last heartbeat if it is silent.
 type timedRegistration struct {
 	registration encoder.Registration
 	coldUntil    time.Time
+	silentSince  time.Time
 }
 
 // NewCatalog returns an empty Catalog.
 func NewCatalog() *Catalog {
-	return &Catalog{keepers: map[netip.AddrPort]*keeperReport{}}
+	return &Catalog{keepers: map[netip.AddrPort]*keeperReport{}, restarted: map[encoder.ServerID]End{}}
 }
 
 // Update applies a keeper's reply. IsWhole means that the reply lists all servers of the keeper,
@@ -70,7 +74,8 @@
 			delete(r.servers, s.ID)
 			continue
 		}
-		r.servers[s.ID] = timedRegistration{registration: s, coldUntil: now.Add(s.Cold)}
+		c.recordRestart(now, r.servers[s.ID].registration, s)
+		r.servers[s.ID] = timedRegistration{registration: s, coldUntil: now.Add(s.Cold), silentSince: now.Add(-s.SilentFor)}
 	}
 }
 
--- a/internal/locator/directory.go
+++ b/internal/locator/directory.go
@@ -22,6 +22,9 @@
 	// restoredExpiryTime is how long a restored server without heartbeats is kept. It is shorter
 	// than expiryTime because the server may have left while the keeper was down.
 	restoredExpiryTime = 2500 * time.Millisecond
+	// heartbeatsInSilence is the number of heartbeat intervals that fit into the time after which a
+	// server is marked as silent.
+	heartbeatsInSilence = 3
 )
 
 // Directory holds the servers that one keeper received heartbeats from. It is not safe for
@@ -38,6 +41,8 @@
 	registration  encoder.Registration
 	lastHeartbeat time.Time
 	coldUntil     time.Time
+	// silentSince is the time of the last heartbeat of a silent server.
+	silentSince time.Time
 	// isRestored is set until the first heartbeat after the directory was restored.
 	isRestored bool
 }
@@ -66,7 +71,7 @@
 			// The heartbeat was delayed, and another server has started at the address since.
 			return nil
 		}
-		changed = append(changed, g.markGone(now, addressHolder))
+		changed = append(changed, g.markReplaced(now, addressHolder))
 	}
 	if e != nil {
 		g.releaseAddress(e.registration)
@@ -125,6 +130,7 @@
 			changed = append(changed, g.remove(now, e))
 		case sinceHeartbeat > g.silence && !e.registration.Silent:
 			e.registration.Silent = true
+			e.recordEnd(g.silence / heartbeatsInSilence)
 			changed = append(changed, e.registrationAt(now))
 		}
 	}
@@ -152,6 +158,23 @@
 	return g.entries[id]
 }
 
+// markReplaced marks a server as gone that had not left when another one started at its address.
+func (g *Directory) markReplaced(now time.Time, e *entry) encoder.Registration {
+	e.registration.Silent = true
+	e.recordEnd(min(now.Sub(e.lastHeartbeat), g.silence/heartbeatsInSilence))
+	return g.markGone(now, e)
+}
+
+// recordEnd records how long after its last heartbeat a server has ended at the latest, unless the time
+// of that heartbeat is not known.
+func (e *entry) recordEnd(window time.Duration) {
+	if e.isRestored {
+		return
+	}
+	e.silentSince = e.lastHeartbeat
+	e.registration.EndWindow = window
+}
+
 // markGone marks a server as gone, releases its address and returns its registration.
 func (g *Directory) markGone(now time.Time, e *entry) encoder.Registration {
 	r := &e.registration
@@ -190,10 +213,14 @@
 	}
 }
 
-// registrationAt returns the registration with the remaining cold time at now.
+// registrationAt returns the registration with the remaining cold time and the time of silence at now.
 func (e *entry) registrationAt(now time.Time) encoder.Registration {
 	r := e.registration
 	r.Cold = max(0, e.coldUntil.Sub(now))
+	r.SilentFor = 0
+	if r.Silent && !e.silentSince.IsZero() {
+		r.SilentFor = now.Sub(e.silentSince)
+	}
 	return r
 }
 
@@ -210,5 +237,7 @@
 func isUnchanged(a, b encoder.Registration) bool {
 	a.Sequence, b.Sequence = 0, 0
 	a.Cold, b.Cold = 0, 0
+	a.SilentFor, b.SilentFor = 0, 0
+	a.EndWindow, b.EndWindow = 0, 0
 	return a == b
 }
--- /dev/null
+++ b/internal/locator/end.go
@@ -0,0 +1,64 @@
+package locator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"banyandock.example/banyandock/internal/encoder"
+)
+
+// endTime is how long after its last heartbeat the end of a server is of interest.
+const endTime = 30 * time.Second
+
+// End is what the keepers know of a server that ended without leaving: it sent its last heartbeat at
+// LastHeartbeat, which is zero if that is not known, and has ended before Latest.
+type End struct {
+	Server        encoder.ServerID
+	Born          int64
+	LastHeartbeat time.Time
+	Latest        time.Time
+}
+
+// Ended returns the starts of servers that ended without leaving, as all keepers that report them say,
+// ordered by server. Earlier ones than endTime ago are left out.
+func (c *Catalog) Ended(now time.Time) []End {
+	ends := map[encoder.ServerID]End{}
+	alive := map[encoder.ServerID]int64{}
+	for _, r := range c.keepers {
+		for id, h := range r.servers {
+			if !h.hasEnded() {
+				alive[id] = max(alive[id], h.registration.Born)
+				continue
+			}
+			e := End{Server: id, Born: h.registration.Born, LastHeartbeat: h.silentSince, Latest: h.silentSince.Add(h.registration.EndWindow)}
+			known, ok := ends[id]
+			if !ok || known.Born < e.Born || known.Born == e.Born && known.LastHeartbeat.Before(e.LastHeartbeat) {
+				ends[id] = e
+			}
+		}
+	}
+	maps.DeleteFunc(c.restarted, func(_ encoder.ServerID, e End) bool { return now.Sub(e.Latest) > endTime })
+	list := slices.Collect(maps.Values(c.restarted))
+	for id, e := range ends {
+		if born, ok := alive[id]; (!ok || born != e.Born) && now.Sub(e.LastHeartbeat) < endTime {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b End) int { return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Born, b.Born)) })
+	return list
+}
+
+// recordRestart records that a server has started again under its ID, if it had not left before.
+func (c *Catalog) recordRestart(now time.Time, before, after encoder.Registration) {
+	if before.Born < after.Born && before.State == encoder.PresenceReady && before.Born != 0 {
+		c.restarted[before.ID] = End{Server: before.ID, Born: before.Born, Latest: now}
+	}
+}
+
+// hasEnded reports whether the keeper saw the server's heartbeats cease, or another server at its
+// address, though it had not left. A keeper of an older release does not say since when.
+func (h timedRegistration) hasEnded() bool {
+	return h.registration.Silent && h.registration.SilentFor > 0
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -67,6 +67,8 @@
 	EventQuarantine = "request quarantined"
 	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
 	EventCrashUnconfirmed = "crash not confirmed"
+	// EventServerEnded reports that a server ended that had not answered some requests.
+	EventServerEnded = "server ended"
 	// EventCrashReportLost reports that a dock could not deliver its reports on crashes.
 	EventCrashReportLost = "crash reports not delivered"
 	// EventCrashCounted reports that a keeper counted a crash for a fingerprint, and
@@ -98,11 +100,13 @@
 const (
 	// FieldRequest is the caller's identifier of the request.
 	FieldRequest = "request"
-	FieldRoute   = "route"
-	FieldService = "service"
-	FieldServer  = "server"
-	FieldAddress = "address"
-	FieldKeeper  = "keeper"
+	// FieldRequests lists the callers' identifiers of several requests.
+	FieldRequests = "requests"
+	FieldRoute    = "route"
+	FieldService  = "service"
+	FieldServer   = "server"
+	FieldAddress  = "address"
+	FieldKeeper   = "keeper"
 	// FieldConfiguration is the number of the configuration on which a decision was based.
 	FieldConfiguration = "configuration"
 	FieldBefore        = "before"
@@ -137,6 +141,10 @@
 	// FieldRepeat reports whether the request was sent although an equal one was known to have
 	// crashed a server.
 	FieldRepeat = "repeat"
+	// FieldEvidence tells how the end of a server became known, and FieldGivenUp how many requests
+	// without an answer the dock had given up before.
+	FieldEvidence = "evidence"
+	FieldGivenUp  = "given_up"
 	// FieldFingerprint is equal for requests that servers cannot distinguish from each other.
 	// FieldPathFingerprint ignores the query.
 	FieldFingerprint     = "fingerprint"
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -50,6 +50,9 @@
 	Configure(t *matcher.Table)
 	// UpdateServers replaces the known servers of all services.
 	UpdateServers(services map[identifier.ServiceName][]locator.Server)
+	// SetEndedServers passes the starts of servers that ended without leaving. It is called before
+	// UpdateServers.
+	SetEndedServers(ends []locator.End)
 	// SetDocks sets the number of docks and the number of their failure domains.
 	SetDocks(docks, domains int)
 	// SetDomainDocks replaces the list of docks in this dock's failure domain, which includes the
@@ -263,6 +266,7 @@
 func (w *Watcher) publish() {
 	w.lastPublish = w.clock.Now()
 	w.isPublishScheduled = false
+	w.sink.SetEndedServers(w.catalog.Ended(w.clock.Now()))
 	w.sink.UpdateServers(w.catalog.Servers(w.clock.Now()))
 	docks, domains := 1, 1
 	for _, k := range w.keepers {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -150,6 +150,8 @@
 	d.numbers = append(d.numbers, table.Number())
 }
 
+func (d *dock) SetEndedServers([]locator.End) {}
+
 func (d *dock) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
