The end of a server counts although the dock had given the request up

What callers saw: a request under which servers had ended was sent to all shards again and again, each time ending a server of each; its callers left early, or the dock gave it up itself because too few shards were left.

Cause: the end of a server was looked for only by an attempt that was still awaited. An attempt that the query had cancelled (caller left, deadline, answer out of reach or complete without it, owner dropped it) ended as 'cancelled', and its server's end concerned nobody.

Fix: ends are held against all requests that the server had not answered (internal/accuser), not against the attempt that looks. One check serves all of them. A refused connection of any request to a server with such requests is followed up, as is a reply of another server at its address.

The tests in internal/forwarder fail before ('the condition does not hold after 5 seconds').

--- a/internal/accuser/accuser.go
+++ b/internal/accuser/accuser.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -45,6 +46,8 @@
 	Fingerprints []identifier.Fingerprint
 	// IsRepeat is set if the request was sent after an equal one was known to have ended a server.
 	IsRepeat bool
+	// IsAnswered is set once a server has answered the request, so that it ends none.
+	IsAnswered *atomic.Bool
 
 	// Guarded by the Accuser's mutex. SentAt is when it was sent, and LeftAt when this dock stopped to
 	// wait for the answer, or zero before.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/accuser"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 )
@@ -110,10 +111,10 @@
 		f.reporter.countAttempt(a.job.service, r.outcome)
 	}
 	f.onObserved()
-	a.settle(now, run, r)
+	mustCheck := a.settle(now, run, r)
 	a.deliver(r)
-	if r.outcome == AttemptLost {
-		a.confirmCrash(destination)
+	if mustCheck {
+		a.checkEnd(r)
 	}
 }
 
@@ -123,22 +124,39 @@
 	return accuser.Run{
 		Start:   accuser.Start{Server: a.target.ID, Born: a.target.Born},
 		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
+		IsAnswered: &q.wasAnswered,
 	}
 }
 
-// settle records whether the server has answered.
-func (a *attempt) settle(now time.Time, run *accuser.Run, r attemptResult) {
+// settle records whether the server has answered. It reports whether the result is a sign that the
+// server has ended and left requests without an answer.
+func (a *attempt) settle(now time.Time, run *accuser.Run, r attemptResult) bool {
 	f := a.job.query.forwarder
 	switch {
 	case r.reply != nil && r.reply.Metadata.IsWrongServer:
 		f.accuser.NotSent(run)
 		f.serverEnded(accuser.End{Start: run.Start, Latest: now}, evidenceReplaced)
+		return false
 	case r.reply != nil:
 		f.accuser.Answered(now, run)
+		return false
 	case errors.Is(r.err, sender.ErrNotSent):
 		f.accuser.NotSent(run)
+		return r.outcome == AttemptNotSent && f.accuser.HasRuns(run.Start)
 	default:
-		f.accuser.Left(now, run)
+		return f.accuser.Left(now, run) && r.outcome == AttemptLost
+	}
+}
+
+// checkEnd checks whether the server has ended. It logs why that is not known of a server that lost the
+// request.
+func (a *attempt) checkEnd(r attemptResult) {
+	q := a.job.query
+	f := q.forwarder
+	err := (&endCheck{endChecker: f.endChecker, target: a.target}).check()
+	if err != nil && r.outcome == AttemptLost {
+		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
+			Str(recorder.FieldServer, string(a.target.ID)).Msg(recorder.EventCrashUnconfirmed)
 	}
 }
 
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,15 +1,13 @@
 package forwarder
 
 import (
-	"context"
-	"errors"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"banyandock.example/banyandock/internal/accuser"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -18,8 +16,6 @@
 )
 
 const (
-	// crashCheckTimeout bounds the check whether a server that lost a request has crashed.
-	crashCheckTimeout = 300 * time.Millisecond
 	// maxSuspects bounds the fingerprints with crashes that a dock keeps.
 	maxSuspects = 64
 	// isolationTime is how long a fingerprint runs isolated after a keeper has listed it.
@@ -161,10 +157,10 @@
 }
 
 // recordSuccess records that a request was answered, so that it did not cause the crashes.
-func (c *crashTracker) recordSuccess(f fingerprints) {
+func (c *crashTracker) recordSuccess(list []identifier.Fingerprint) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, one := range f.list() {
+	for _, one := range list {
 		delete(c.isolatedUntil, one)
 		c.withdraw(one)
 	}
@@ -246,45 +242,32 @@
 		Int64(recorder.FieldRetryAfter, q.Remaining.Milliseconds()).Msg(recorder.EventQuarantine)
 }
 
-// confirmCrash checks whether a server that lost a request has crashed, and records the crash. The
-// server counts as crashed if its address refuses connections while other servers can be reached. A
-// server that lost only the answer still accepts them.
-func (a *attempt) confirmCrash(destination sender.Destination) {
-	q := a.job.query
-	f := q.forwarder
-	ctx, cancel := context.WithTimeout(f.ctx, crashCheckTimeout)
-	defer cancel()
-	refusedAt := f.clock.Now()
-	err := f.sender.Probe(ctx, destination)
-	isRefused := errors.Is(err, syscall.ECONNREFUSED)
-	if !isRefused || !f.detachment.awaitCorroboration(refusedAt, a.target) {
-		f.log.Info().Err(err).Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
-			Str(recorder.FieldServer, string(destination.ID)).Msg(recorder.EventCrashUnconfirmed)
-		return
-	}
-	f.log.Warn().Str(recorder.FieldRequest, q.prepared.ID).Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).
-		Str(recorder.FieldServer, string(destination.ID)).Bool(recorder.FieldRepeat, a.isRepeat).Msg(recorder.EventCrash)
-	if q.wasAnswered.Load() {
+// accuse holds the end of a server against a request that the server had not answered, unless another
+// one has answered it.
+func (f *Forwarder) accuse(r accuser.Run, e evidence) {
+	f.log.Warn().Str(recorder.FieldRequest, r.Request).Uint64(recorder.FieldFingerprint, uint64(r.Fingerprints[0])).
+		Str(recorder.FieldServer, string(r.Server)).Bool(recorder.FieldRepeat, r.IsRepeat).
+		Stringer(recorder.FieldEvidence, e).Msg(recorder.EventCrash)
+	if r.IsAnswered.Load() {
 		return
 	}
-	for _, one := range q.fingerprints.list() {
+	for _, one := range r.Fingerprints {
 		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
-			Fingerprint: one, Request: q.prepared.ID, Server: destination.ID, IsRepeat: a.isRepeat,
+			Fingerprint: one, Request: r.Request, Server: r.Server, IsRepeat: r.IsRepeat,
 		})
 		if isQuarantined {
 			f.logQuarantine(encoder.Quarantine{Fingerprint: one, Remaining: locator.QuarantineTime})
 		}
 	}
-	if q.wasAnswered.Load() {
+	if r.IsAnswered.Load() {
 		// The answer arrived while the crash was recorded.
-		f.crashTracker.recordSuccess(q.fingerprints)
+		f.crashTracker.recordSuccess(r.Fingerprints)
 	}
-	f.onObserved()
 }
 
 // recordAnswer records that a server has answered the request, which therefore crashes none.
 func (q *query) recordAnswer() {
 	if q.wasAnswered.CompareAndSwap(false, true) {
-		q.forwarder.crashTracker.recordSuccess(q.fingerprints)
+		q.forwarder.crashTracker.recordSuccess(q.fingerprints.list())
 	}
 }
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// serverEnded logs that a server ended that had not answered some requests.
+// serverEnded holds the end of a server against the requests that it had not answered.
 func (f *Forwarder) serverEnded(end accuser.End, e evidence) {
 	runs := f.accuser.Ended(end)
 	if len(runs) == 0 {
@@ -182,6 +182,13 @@
 	f.log.Warn().Str(recorder.FieldServer, string(end.Server)).Str(recorder.FieldService, string(runs[0].Service)).
 		Stringer(recorder.FieldEvidence, e).Int(recorder.FieldCount, len(runs)).Int(recorder.FieldGivenUp, givenUp).
 		Strs(recorder.FieldRequests, requestsOf(runs)).Msg(recorder.EventServerEnded)
+	if e == evidenceDirectory {
+		return
+	}
+	for _, r := range runs {
+		f.accuse(r, e)
+	}
+	f.onObserved()
 }
 
 // maxLoggedRequests bounds the requests that a log line names.
--- /dev/null
+++ b/internal/forwarder/end_test.go
@@ -0,0 +1,76 @@
+package forwarder_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/matcher"
+)
+
+// crashesServerLater lets a request run for a while before it closes its server, also if the request
+// is given up meanwhile.
+func crashesServerLater(w http.ResponseWriter, r *http.Request, n int) {
+	time.Sleep(50 * time.Millisecond)
+	crashesServer(w, r, n)
+}
+
+// servedBy sets a route to one service whose requests have one handler.
+func (d *deployment) servedBy(h handler, ids ...string) {
+	for _, id := range ids {
+		d.addServer("plates", id, h)
+	}
+	d.addServer("other", "other", answers("ok"))
+	d.setRoute(matcher.Route{Idempotent: true, Destination: matcher.Single{Service: "plates"}})
+}
+
+func TestCrashIsMissedAfterTheCallerLeft(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.servedBy(crashesServerLater, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	d.send(ctx, "GET", "", time.Second)
+	waitFor(t, func() bool { return d.forwarder.CrashStats().Crashes > 0 })
+	assert.Equal(t, len(d.crashes()), 1)
+	assert.Equal(t, d.crashes()[0].Server, encoder.ServerID("a"))
+}
+
+// TestCrashIsMissedAfterTheQueryFailed has so many shards without a server that the query fails while
+// the others run the request.
+func TestCrashIsMissedAfterTheQueryFailed(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	for i, s := range services(crashingShards) {
+		h := crashesServerLater
+		if i >= crashingShards/2 {
+			h = after(20*time.Millisecond, fails)
+		}
+		d.addServer(string(s), string(s)+"a", h)
+	}
+	d.addServer("other", "other", answers("ok"))
+	d.setRoute(scatterRoute(crashingShards, 5, 0.9, time.Second))
+	expect[forwarder.Failed](t, d.get())
+	waitFor(t, func() bool { return d.forwarder.CrashStats().Suspects > 0 && len(d.crashes()) >= 3 })
+}
+
+// TestGivenUpRequestOfALivingServerIsAccused guards against requests that are held responsible for a
+// server which ends long after, or leaves.
+func TestGivenUpRequestOfALivingServerIsAccused(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.servedBy(after(50*time.Millisecond, answers("ok")), "a")
+	d.send(context.Background(), "GET", "", 30*time.Millisecond)
+	time.Sleep(1100 * time.Millisecond)
+	expect[forwarder.Answer](t, d.sendTo(context.Background(), "GET", "/x/other", "", time.Second))
+	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+	d.send(context.Background(), "GET", "", 30*time.Millisecond)
+	d.forwarder.UpdateServers(map[identifier.ServiceName][]locator.Server{})
+	time.Sleep(time.Second)
+	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+}
