The end of a server that hangs counts

Cause: only a refused connection counted as an end. A server whose process hangs accepts connections, and one that is back already does so too.

Fix: what the keepers' directory knows (heartbeats that cease, a later start, another server at the address) is held against the requests that were at the server when it ended, if no other evidence came first. The directory says when the last heartbeat came, so that requests sent after the end or given up long before it are not accused, and an answer of the server clears what it outlived.

TestCrashIsMissedOfAServerThatHangs fails before.

--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -182,9 +182,6 @@
 	f.log.Warn().Str(recorder.FieldServer, string(end.Server)).Str(recorder.FieldService, string(runs[0].Service)).
 		Stringer(recorder.FieldEvidence, e).Int(recorder.FieldCount, len(runs)).Int(recorder.FieldGivenUp, givenUp).
 		Strs(recorder.FieldRequests, requestsOf(runs)).Msg(recorder.EventServerEnded)
-	if e == evidenceDirectory {
-		return
-	}
 	for _, r := range runs {
 		f.accuse(r, e)
 	}
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -59,6 +59,19 @@
 	waitFor(t, func() bool { return d.forwarder.CrashStats().Suspects > 0 && len(d.crashes()) >= 3 })
 }
 
+func TestCrashIsMissedOfAServerThatHangs(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.servedBy(after(5*time.Second, answers("late")), "a", "b")
+	sent := time.Now()
+	d.send(context.Background(), "GET", "", 100*time.Millisecond)
+	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+	end := locator.End{Server: "a", Born: 1, LastHeartbeat: sent.Add(-time.Second), Latest: time.Now()}
+	d.forwarder.SetEndedServers([]locator.End{end})
+	d.forwarder.SetEndedServers([]locator.End{end})
+	assert.Equal(t, len(d.crashes()), 1)
+	assert.Equal(t, d.crashes()[0].Server, encoder.ServerID("a"))
+}
+
 // TestGivenUpRequestOfALivingServerIsAccused guards against requests that are held responsible for a
 // server which ends long after, or leaves.
 func TestGivenUpRequestOfALivingServerIsAccused(t *testing.T) {
