--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -38,8 +38,6 @@
 )
 
 const (
-	// heartbeatInterval is how often backend servers announce themselves.
-	heartbeatInterval = 500 * time.Millisecond
 	// callTimeout bounds an HTTP request to a control or readiness address.
 	callTimeout = 2 * time.Second
 	// startTimeout bounds the time until a new deployment serves requests.
@@ -71,6 +69,8 @@
 	crashDelay    time.Duration
 	downTime      time.Duration
 	isSilentCrash bool
+	// heartbeatInterval is how often backend servers announce themselves.
+	heartbeatInterval time.Duration
 	// crashes reports whether requests crash the servers of a service. If it is nil, they crash all.
 	crashes func(service string) bool
 }
@@ -79,7 +79,7 @@
 // docks for docks to own shards.
 func standardLayout() layout {
 	return layout{
-		shards: 40, downTime: crashDownTime,
+		shards: 40, downTime: crashDownTime, heartbeatInterval: 500 * time.Millisecond,
 		crashRoute: standin.Route{Timeout: 2 * time.Second, LatencyTarget: 300 * time.Millisecond, RowLimit: 5, Coverage: 0.9},
 	}
 }
@@ -206,7 +206,7 @@
 		d.publicAddress(3, portControl), portLink, d.publicAddress(host, portLink))
 	if isKeeper(host) {
 		text += fmt.Sprintf("control_address = \"%s\"\ndata_folder = \"%s\"\nmay_form = %t\ntolerated_hosts = %d\nheartbeat_interval = \"%s\"\n",
-			d.publicAddress(host, portControl), d.dataFolder(host), mayForm, toleratedHosts, heartbeatInterval)
+			d.publicAddress(host, portControl), d.dataFolder(host), mayForm, toleratedHosts, d.layout.heartbeatInterval)
 		if err := os.MkdirAll(d.dataFolder(host), 0o700); err != nil {
 			return eris.Wrap(err, "data folder")
 		}
@@ -263,7 +263,7 @@
 			options = append(options, standin.WithSilentCrash())
 		}
 	}
-	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, heartbeatInterval, d.history.recordRun, options...)
+	b, err := standin.NewBackend(fmt.Sprintf("server-%d", d.serverNumber), service, "domain", at, controls, d.layout.heartbeatInterval, d.history.recordRun, options...)
 	if err != nil {
 		d.history.expect(false, "backend server: %v", err)
 		return
@@ -292,13 +292,19 @@
 // shardName returns the name of the service of a shard.
 func shardName(i int) string { return fmt.Sprintf("shard-%d", i) }
 
+// shardNames returns the names of the first shards.
+func shardNames(count int) []string {
+	list := []string{}
+	for i := range count {
+		list = append(list, shardName(i))
+	}
+	return list
+}
+
 // routes returns the routes of a configuration version. The prefix of the last route contains the
 // version.
 func (d *deployment) routes(version int) []standin.Route {
-	shards := []string{}
-	for i := range d.layout.shards {
-		shards = append(shards, shardName(i))
-	}
+	shards := shardNames(d.layout.shards)
 	crashAll := d.layout.crashRoute
 	crashAll.Prefix, crashAll.Shards = crashPath+"-all/", shards
 	return []standin.Route{
