An answer of one shard no longer clears a request of the crashes of another

Cause: the first answer of any server withdrew all crashes of the fingerprint, ended its isolation and was held to prove that none of its crashes counted.

Evidence: 24 'server crashed' on docks, none counted by a keeper.

Fix: crashes are held by service. An answer clears those of its service only; an answer of all services clears the request. A job that has lost a repeat sends no other. The unit test fails before ('does not hold after 5 seconds').

--- a/internal/accuser/accuser.go
+++ b/internal/accuser/accuser.go
@@ -46,7 +46,8 @@
 	Fingerprints []identifier.Fingerprint
 	// IsRepeat is set if the request was sent after an equal one was known to have ended a server.
 	IsRepeat bool
-	// IsAnswered is set once a server has answered the request, so that it ends none.
+	// IsAnswered is set once another server of the service has answered the request, so that it ends
+	// none of them.
 	IsAnswered *atomic.Bool
 
 	// Guarded by the Accuser's mutex. SentAt is when it was sent, and LeftAt when this dock stopped to
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -158,8 +158,10 @@
 	Fingerprint identifier.Fingerprint `msgpack:"f"`
 	// Request is the caller's identifier.
 	Request string `msgpack:"r"`
-	// Server is the server that terminated.
-	Server ServerID `msgpack:"i,omitempty"`
+	// Server is the server that terminated, and Service its service. A dock of an older release sends no
+	// service.
+	Server  ServerID               `msgpack:"i,omitempty"`
+	Service identifier.ServiceName `msgpack:"v,omitempty"`
 	// IsRepeat is set if the request was sent to the server after the dock knew of an earlier crash
 	// with the fingerprint.
 	IsRepeat bool `msgpack:"p,omitempty"`
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -106,7 +106,7 @@
 	r.outcome = a.classify(&reply, err)
 	a.updateSelector(now, flight, r)
 	if r.outcome == AttemptAnswered {
-		q.recordAnswer()
+		a.job.recordAnswer()
 	} else {
 		f.reporter.countAttempt(a.job.service, r.outcome)
 	}
@@ -124,7 +124,7 @@
 	return accuser.Run{
 		Start:   accuser.Start{Server: a.target.ID, Born: a.target.Born},
 		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
-		IsAnswered: &q.wasAnswered,
+		IsAnswered: &a.job.wasAnswered,
 	}
 }
 
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -156,7 +157,17 @@
 	c.withdraw(f)
 }
 
-// recordSuccess records that a request was answered, so that it did not cause the crashes.
+// recordAnswer records that a server of a service answered a request, so that the request did not cause
+// the crashes of that service's servers. It may crash those of others nevertheless.
+func (c *crashTracker) recordAnswer(list []identifier.Fingerprint, service identifier.ServiceName) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, one := range list {
+		c.withdrawService(one, service)
+	}
+}
+
+// recordSuccess records that all services of a request answered it, so that it crashes none.
 func (c *crashTracker) recordSuccess(list []identifier.Fingerprint) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -166,6 +177,24 @@
 	}
 }
 
+// withdrawService forgets the crashes of a service's servers. The caller holds the lock.
+func (c *crashTracker) withdrawService(f identifier.Fingerprint, service identifier.ServiceName) {
+	s, isSuspect := c.suspects[f]
+	if !isSuspect {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(s.crashes), func(crash encoder.Crash) bool { return crash.Service == service })
+	switch len(rest) {
+	case len(s.crashes):
+	case 0:
+		c.withdraw(f)
+	default:
+		s.crashes = rest
+		c.suspects[f] = s
+		c.version++
+	}
+}
+
 // withdraw forgets the crashes of a fingerprint. The caller holds the lock.
 func (c *crashTracker) withdraw(f identifier.Fingerprint) {
 	if _, isSuspect := c.suspects[f]; isSuspect {
@@ -253,7 +282,7 @@
 	}
 	for _, one := range r.Fingerprints {
 		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
-			Fingerprint: one, Request: r.Request, Server: r.Server, IsRepeat: r.IsRepeat,
+			Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service, IsRepeat: r.IsRepeat,
 		})
 		if isQuarantined {
 			f.logQuarantine(encoder.Quarantine{Fingerprint: one, Remaining: locator.QuarantineTime})
@@ -261,13 +290,27 @@
 	}
 	if r.IsAnswered.Load() {
 		// The answer arrived while the crash was recorded.
-		f.crashTracker.recordSuccess(r.Fingerprints)
+		f.crashTracker.recordAnswer(r.Fingerprints, r.Service)
 	}
 }
 
-// recordAnswer records that a server has answered the request, which therefore crashes none.
-func (q *query) recordAnswer() {
-	if q.wasAnswered.CompareAndSwap(false, true) {
+// recordAnswer records that a server of the job's service has answered the request.
+func (j *job) recordAnswer() {
+	if j.wasAnswered.CompareAndSwap(false, true) {
+		j.query.forwarder.crashTracker.recordAnswer(j.query.fingerprints.list(), j.service)
+	}
+}
+
+// recordOutcome records whether all services have answered the request.
+func (q *query) recordOutcome(o Outcome) {
+	isComplete := false
+	switch o := o.(type) {
+	case Answer:
+		isComplete = isSuccess(&o.Reply)
+	case Gathered:
+		isComplete = o.Missing == 0
+	}
+	if isComplete && len(q.relayHosts) == 0 {
 		q.forwarder.crashTracker.recordSuccess(q.fingerprints.list())
 	}
 }
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -44,6 +44,9 @@
 // crashes returns the crashes that the dock reports for one of the request's two fingerprints.
 func (d *deployment) crashes() []encoder.Crash {
 	report, _ := d.forwarder.CrashReport()
+	if len(report.Crashes) == 0 {
+		return nil
+	}
 	isOther := func(c encoder.Crash) bool { return c.Fingerprint != report.Crashes[0].Fingerprint }
 	return slices.DeleteFunc(slices.Clone(report.Crashes), isOther)
 }
@@ -305,3 +308,34 @@
 	d.get()
 	waitFor(t, func() bool { return len(d.crashes()) == 1 })
 }
+
+// TestRequestCrashesServersOfOneShardWhileOthersAnswer guards against an answer of one shard that clears
+// the request of the crashes of another.
+func TestRequestCrashesServersOfOneShardWhileOthersAnswer(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	all := services(crashingShards)
+	for i, s := range all {
+		h := answers(record(1))
+		if i == 0 {
+			h = crashesServer
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			d.addServer(string(s), string(s)+id, h)
+		}
+	}
+	d.setRoute(scatterRoute(crashingShards, 5, 0.5, time.Second))
+	expect[forwarder.Gathered](t, d.get())
+	waitFor(t, func() bool { return len(d.crashes()) == 2 })
+	expect[forwarder.Gathered](t, d.get())
+	waitFor(t, func() bool {
+		report, _ := d.forwarder.CrashReport()
+		return len(report.Quarantines) > 0
+	})
+	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonQuarantined)
+	alive := 0
+	for _, id := range []string{"a", "b", "c", "d"} {
+		n, _ := d.servers[encoder.ServerID(string(all[0])+id)].count()
+		alive += 1 - min(n, 1)
+	}
+	assert.Assert(t, alive >= 1, "every server of the shard has crashed")
+}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -36,10 +37,14 @@
 	isOver   bool
 	// maxRuns bounds runs.
 	maxRuns int
-	// hasLost is set after a server has lost the request. isAwaitingIsolation is set while the job
-	// waits to retry until the query's isolation allows it.
+	// hasLost is set after a server has lost the request, and hasLostRepeat after one has that got it
+	// although an earlier crash or loss was known. isAwaitingIsolation is set while the job waits to
+	// retry until the query's isolation allows it.
 	hasLost             bool
+	hasLostRepeat       bool
 	isAwaitingIsolation bool
+	// wasAnswered is set once a server has answered the request. Any goroutine may access it.
+	wasAnswered atomic.Bool
 	// isAwaitingPermit is set while the job waits for the permission to run once more.
 	isAwaitingPermit bool
 	// failureReply is a server's failure reply. It is passed on if no server answers with success.
@@ -197,6 +202,7 @@
 	j.inFlight--
 	j.query.isolation.end(r)
 	j.hasLost = j.hasLost || r.outcome == AttemptLost
+	j.hasLostRepeat = j.hasLostRepeat || r.outcome == AttemptLost && r.attempt.isRepeat
 	j.trace.end(r)
 	if j.isOver {
 		return result{}, false
@@ -275,7 +281,7 @@
 // to do so. It returns false if a retry is not allowed or there is no further server.
 func (j *job) retry(now time.Time, isBudgetExempt bool) bool {
 	mayRepeat := j.query.route.Idempotent || j.runs == 0
-	if !mayRepeat || !j.mayRunMore() || j.query.isRepeatForbidden(now) {
+	if !mayRepeat || !j.mayRunMore() || j.query.isRepeatForbidden(now, j) {
 		return false
 	}
 	if j.needsPermit() {
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -61,10 +60,8 @@
 	// the limit.
 	isLimitedToOneRun bool
 	repeatPermit      chan struct{}
-	// isolation limits the servers that run a request that may crash them. wasAnswered is set once a
-	// server has answered the request.
-	isolation   isolation
-	wasAnswered atomic.Bool
+	// isolation limits the servers that run a request that may crash them.
+	isolation isolation
 	// tokens holds the server of each service for which the query has an unused token of the server's
 	// limit.
 	tokens map[identifier.ServiceName]encoder.ServerID
@@ -170,6 +167,7 @@
 		return Refused{After: congestedRetryAfter, Reason: ReasonCongested}
 	}
 	o := q.answer()
+	q.recordOutcome(o)
 	if h, ok := o.(handedOver); ok {
 		o = q.relayUnanswered(h)
 	} else if q.isServerless(o) && q.canRelay() {
@@ -226,10 +224,10 @@
 	}
 }
 
-// isRepeatForbidden reports whether the request must not be sent again, because it crashes servers or
-// seems to.
-func (q *query) isRepeatForbidden(now time.Time) bool {
-	if q.isolation.hasLostRepeat && len(q.services()) > 1 {
+// isRepeatForbidden reports whether the request must not be sent again to a job's service, because it
+// crashes servers or seems to.
+func (q *query) isRepeatForbidden(now time.Time, j *job) bool {
+	if (q.isolation.hasLostRepeat || j.hasLostRepeat) && len(q.services()) > 1 {
 		return true
 	}
 	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprints) > 0
