A request that ends servers in turn is quarantined although no crash was known between

What callers saw: a request that came again within the seconds in which the ends of its first servers were not known ran on the next ones, and only isolated after that, until it had ended one more.

Cause: a crash counted as a repeat only if the dock knew of an earlier one when it sent the request. With ends that the directory finds out after seconds, none is.

Fix: a crash says when its request was sent and when the server had ended at the latest, as ages, so that no clocks are compared; a request sent half a second or more after the end of a server of an equal one is a repeat. Servers that fail together make none.

TestRequestCrashesServersInTurnBeforeAnyCrashIsKnown fails without the comparison.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -41,7 +41,7 @@
 
 // suspect holds the crashes of one fingerprint.
 type suspect struct {
-	crashes   []encoder.Crash
+	crashes   []locator.Crash
 	lastCrash time.Time
 }
 
@@ -130,7 +130,7 @@
 // recordCrash records that a server crashed while it ran a request, unless the request is
 // quarantined or there are maxSuspects others. It reports whether the crashes that this dock knows of
 // suffice to quarantine the request, which it then does.
-func (c *crashTracker) recordCrash(now time.Time, crash encoder.Crash) bool {
+func (c *crashTracker) recordCrash(now time.Time, crash locator.Crash) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.removeExpired(now)
@@ -183,7 +183,7 @@
 	if !isSuspect {
 		return
 	}
-	rest := slices.DeleteFunc(slices.Clone(s.crashes), func(crash encoder.Crash) bool { return crash.Service == service })
+	rest := slices.DeleteFunc(slices.Clone(s.crashes), func(crash locator.Crash) bool { return crash.Service == service })
 	switch len(rest) {
 	case len(s.crashes):
 	case 0:
@@ -226,7 +226,9 @@
 	c.removeExpired(now)
 	r := encoder.CrashReport{}
 	for _, s := range c.suspects {
-		r.Crashes = append(r.Crashes, s.crashes...)
+		for _, crash := range s.crashes {
+			r.Crashes = append(r.Crashes, crash.Sent(now))
+		}
 	}
 	for f, end := range c.quarantinedUntil {
 		r.Quarantines = append(r.Quarantines, encoder.Quarantine{Fingerprint: f, Remaining: end.Sub(now)})
@@ -273,7 +275,7 @@
 
 // accuse holds the end of a server against a request that the server had not answered, unless another
 // one has answered it.
-func (f *Forwarder) accuse(r accuser.Run, e evidence) {
+func (f *Forwarder) accuse(r accuser.Run, endedAt time.Time, e evidence) {
 	f.log.Warn().Str(recorder.FieldRequest, r.Request).Uint64(recorder.FieldFingerprint, uint64(r.Fingerprints[0])).
 		Str(recorder.FieldServer, string(r.Server)).Bool(recorder.FieldRepeat, r.IsRepeat).
 		Stringer(recorder.FieldEvidence, e).Msg(recorder.EventCrash)
@@ -281,8 +283,9 @@
 		return
 	}
 	for _, one := range r.Fingerprints {
-		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), encoder.Crash{
-			Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service, IsRepeat: r.IsRepeat,
+		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), locator.Crash{
+			Crash:  encoder.Crash{Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service, IsRepeat: r.IsRepeat},
+			SentAt: r.SentAt, EndedAt: endedAt,
 		})
 		if isQuarantined {
 			f.logQuarantine(encoder.Quarantine{Fingerprint: one, Remaining: locator.QuarantineTime})
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -183,7 +183,7 @@
 		Stringer(recorder.FieldEvidence, e).Int(recorder.FieldCount, len(runs)).Int(recorder.FieldGivenUp, givenUp).
 		Strs(recorder.FieldRequests, requestsOf(runs)).Msg(recorder.EventServerEnded)
 	for _, r := range runs {
-		f.accuse(r, e)
+		f.accuse(r, end.Latest, e)
 	}
 	f.onObserved()
 }
--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -27,53 +27,6 @@
 	maxQuarantines = 4096
 )
 
-// Suspicion is the assessment of a fingerprint.
-type Suspicion uint8
-
-const (
-	// SuspicionNone means that requests with the fingerprint may run.
-	SuspicionNone Suspicion = iota
-	// SuspicionIsolated means that they may run on one server at a time until one is answered.
-	SuspicionIsolated
-	// SuspicionQuarantined means that they must not run.
-	SuspicionQuarantined
-)
-
-// Assess returns the assessment of the crashes of one fingerprint. A fingerprint is quarantined if
-// its requests crashed crashLimit servers, and one of them after an earlier crash was known. Without
-// such a repeat the crashes may have one common cause: when many servers fail at once, each request
-// that runs on several of them is lost at all of these.
-func Assess(crashes []encoder.Crash) Suspicion {
-	type crash struct {
-		request string
-		server  encoder.ServerID
-	}
-	distinct := map[crash]bool{}
-	hasRepeat := false
-	for _, c := range crashes {
-		distinct[crash{c.Request, c.Server}] = true
-		hasRepeat = hasRepeat || c.IsRepeat
-	}
-	switch {
-	case len(distinct) < crashLimit:
-		return SuspicionNone
-	case hasRepeat:
-		return SuspicionQuarantined
-	default:
-		return SuspicionIsolated
-	}
-}
-
-// AppendCrash appends a crash to the crashes of one fingerprint if Assess may need it. It keeps
-// crashLimit crashes, and one more if it is the first repeat.
-func AppendCrash(crashes []encoder.Crash, c encoder.Crash) []encoder.Crash {
-	isRepeat := func(c encoder.Crash) bool { return c.IsRepeat }
-	if len(crashes) < crashLimit || (c.IsRepeat && !slices.ContainsFunc(crashes, isRepeat)) {
-		return append(crashes, c)
-	}
-	return crashes
-}
-
 // CrashTracker finds requests that crash backend servers from the reports of all docks. A single one
 // of many docks sees too few requests with a fingerprint to detect that they crash servers. It is
 // not safe for concurrent use.
@@ -86,7 +39,7 @@
 // crashReport is what one dock holds against fingerprints.
 type crashReport struct {
 	at      time.Time
-	crashes []encoder.Crash
+	crashes []Crash
 }
 
 // quarantine is the latest quarantine of a fingerprint. It is kept for another duration after its
@@ -106,7 +59,7 @@
 	Fingerprint identifier.Fingerprint
 	// Crash is the crash that was counted. It is nil if a dock withdrew its report on the
 	// fingerprint, or if another process quarantined the fingerprint.
-	Crash *encoder.Crash
+	Crash *Crash
 	// Count is the number of crashes that all docks hold against the fingerprint.
 	Count int
 	// IsQuarantined reports whether the fingerprint is quarantined.
@@ -116,16 +69,17 @@
 // Report replaces the report of one dock with the crashes that it holds against fingerprints now,
 // and returns the changes. A dock no longer reports a fingerprint after one of its requests has been
 // answered.
-func (c *CrashTracker) Report(now time.Time, dock identifier.Incarnation, crashes []encoder.Crash) []CrashFinding {
+func (c *CrashTracker) Report(now time.Time, dock identifier.Incarnation, report []encoder.Crash) []CrashFinding {
 	c.removeExpired(now)
 	before := c.reports[dock].crashes
+	crashes := receive(now, report, before)
 	delete(c.reports, dock)
 	if len(crashes) > 0 && len(c.reports) < maxReports {
 		c.reports[dock] = crashReport{at: now, crashes: crashes}
 	}
 	findings := []CrashFinding{}
 	for _, f := range fingerprints(before) {
-		isReported := func(crash encoder.Crash) bool { return crash.Fingerprint == f }
+		isReported := func(crash Crash) bool { return crash.Fingerprint == f }
 		if !slices.ContainsFunc(crashes, isReported) {
 			findings = append(findings, CrashFinding{Fingerprint: f, IsQuarantined: c.isQuarantined(now, f)})
 		}
@@ -138,8 +92,22 @@
 	return findings
 }
 
+// receive returns the crashes of a report. Those that were reported before keep their times.
+func receive(now time.Time, report []encoder.Crash, before []Crash) []Crash {
+	crashes := []Crash{}
+	for _, reported := range report {
+		crash := Received(now, reported)
+		i := slices.IndexFunc(before, func(known Crash) bool { return known.Crash == crash.Crash })
+		if i >= 0 {
+			crash = before[i]
+		}
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
 // assess quarantines the fingerprint of a newly reported crash if the reports of all docks suffice.
-func (c *CrashTracker) assess(now time.Time, crash encoder.Crash) CrashFinding {
+func (c *CrashTracker) assess(now time.Time, crash Crash) CrashFinding {
 	f := crash.Fingerprint
 	all := c.crashes(f)
 	last, wasQuarantined := c.quarantines[f]
@@ -206,8 +174,8 @@
 }
 
 // crashes returns the crashes that all docks hold against a fingerprint.
-func (c *CrashTracker) crashes(f identifier.Fingerprint) []encoder.Crash {
-	all := []encoder.Crash{}
+func (c *CrashTracker) crashes(f identifier.Fingerprint) []Crash {
+	all := []Crash{}
 	for _, r := range c.reports {
 		for _, crash := range r.crashes {
 			if crash.Fingerprint == f {
@@ -226,7 +194,7 @@
 }
 
 // fingerprints returns the distinct fingerprints of crashes, in ascending order.
-func fingerprints(crashes []encoder.Crash) []identifier.Fingerprint {
+func fingerprints(crashes []Crash) []identifier.Fingerprint {
 	list := []identifier.Fingerprint{}
 	for _, crash := range crashes {
 		list = append(list, crash.Fingerprint)
--- a/internal/locator/crashtracker_test.go
+++ b/internal/locator/crashtracker_test.go
@@ -68,6 +68,27 @@
 	expectQuarantine(t, c, now, 0)
 }
 
+// TestRequestCrashesServersInTurnBeforeAnyCrashIsKnown guards against requests that come again before
+// the crashes of the earlier ones are noticed, so that no dock marks them as repeats.
+func TestRequestCrashesServersInTurnBeforeAnyCrashIsKnown(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	report := func(request string, sentAgo, endedAgo time.Duration) []encoder.Crash {
+		crashes := crashesOf(request, 2, 0)
+		for i := range crashes {
+			crashes[i].SentAgo, crashes[i].EndedAgo = sentAgo, endedAgo
+		}
+		return crashes
+	}
+	c.Report(now, 1, report("a", 3*time.Second, 2*time.Second))
+	c.Report(now, 2, report("b", 2200*time.Millisecond, time.Second))
+	expectQuarantine(t, c, now, 0)
+	c.Report(now.Add(time.Second), 1, report("a", 4*time.Second, 3*time.Second))
+	expectQuarantine(t, c, now, 0)
+	c.Report(now.Add(time.Second), 3, report("c", time.Second, time.Second/2))
+	expectQuarantine(t, c, now.Add(time.Second), locator.QuarantineTime)
+}
+
 func TestAnsweredRequestIsNotSuspected(t *testing.T) {
 	c := locator.NewCrashTracker()
 	now := time.Unix(100, 0)
@@ -115,9 +136,9 @@
 		c.Adopt(now, []encoder.Quarantine{{Fingerprint: f, Remaining: time.Minute + time.Duration(i)}})
 	}
 	assert.Assert(t, len(c.Quarantines(now)) <= 4096)
-	crashes := []encoder.Crash{}
+	crashes := []locator.Crash{}
 	for _, crash := range crashesOf("a", 50, 20) {
-		crashes = locator.AppendCrash(crashes, crash)
+		crashes = locator.AppendCrash(crashes, locator.Received(now, crash))
 	}
 	assert.Equal(t, len(crashes), 4)
 	assert.Equal(t, locator.Assess(crashes), locator.SuspicionQuarantined)
