A suspected request is tried on one server, by all docks the same, where it crashed others

What callers saw: a request that was isolated because it may crash servers still ran on all shards that answer it, or on one more server for each dock that tried it.

Cause: each dock chose a server for the trial by its own latencies, and the shard by the fingerprint. An answer of that shard ended the isolation, also when it was others' servers that had crashed.

Fix: keepers name the service whose servers crashed; the trial goes to it, to the server that rendezvous hashing selects among those with heartbeats, and to no other. If that is down, the request is refused at once as not run, to come back after a second.

--- a/internal/encoder/poll.go
+++ b/internal/encoder/poll.go
@@ -110,6 +110,9 @@
 type Quarantine struct {
 	Fingerprint identifier.Fingerprint `msgpack:"f"`
 	Remaining   time.Duration          `msgpack:"r"`
+	// Service is the service whose servers a request with no remaining time is suspected to crash. It is
+	// empty if that is not known.
+	Service identifier.ServiceName `msgpack:"v,omitempty"`
 }
 
 // KeeperMember identifies a keeper and gives its address.
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -28,9 +29,10 @@
 type crashTracker struct {
 	// Guarded by mutex.
 	mutex sync.Mutex
-	// quarantinedUntil and isolatedUntil hold the ends of the restrictions.
+	// quarantinedUntil holds the ends of the quarantines, and isolated the fingerprints that a keeper
+	// lists as isolated.
 	quarantinedUntil map[identifier.Fingerprint]time.Time
-	isolatedUntil    map[identifier.Fingerprint]time.Time
+	isolated         map[identifier.Fingerprint]isolatedFingerprint
 	// suspects are the fingerprints that crashed a server and have not been answered since.
 	suspects map[identifier.Fingerprint]suspect
 	// crashCount counts the confirmed crashes.
@@ -39,6 +41,13 @@
 	version uint64
 }
 
+// isolatedFingerprint is a fingerprint whose requests must run isolated.
+type isolatedFingerprint struct {
+	until time.Time
+	// service is the service whose servers the requests are suspected to crash, or empty.
+	service identifier.ServiceName
+}
+
 // suspect holds the crashes of one fingerprint.
 type suspect struct {
 	crashes   []locator.Crash
@@ -49,7 +58,7 @@
 func newCrashTracker() *crashTracker {
 	return &crashTracker{
 		quarantinedUntil: map[identifier.Fingerprint]time.Time{},
-		isolatedUntil:    map[identifier.Fingerprint]time.Time{},
+		isolated:         map[identifier.Fingerprint]isolatedFingerprint{},
 		suspects:         map[identifier.Fingerprint]suspect{},
 	}
 }
@@ -96,16 +105,21 @@
 	return max(0, c.quarantinedUntil[f.whole].Sub(now), c.quarantinedUntil[f.path].Sub(now))
 }
 
-// mustIsolate reports whether a request may run on one server at a time only until it is answered.
-func (c *crashTracker) mustIsolate(now time.Time, f fingerprints) bool {
+// suspectedService reports whether a request may run on one server at a time only until it is answered,
+// and which service must answer it first. That is empty if it is not known.
+func (c *crashTracker) suspectedService(now time.Time, f fingerprints) (service identifier.ServiceName, isSuspect bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, one := range f.list() {
-		if len(c.suspects[one].crashes) > 0 || now.Before(c.isolatedUntil[one]) {
-			return true
+		listed := c.isolated[one]
+		switch own := c.suspects[one].crashes; {
+		case now.Before(listed.until):
+			return listed.service, true
+		case len(own) > 0:
+			return locator.SuspectedService(own), true
 		}
 	}
-	return false
+	return "", false
 }
 
 // setQuarantines adds a keeper's list of quarantines and returns those that are new. Quarantines
@@ -118,7 +132,7 @@
 	for _, q := range list {
 		switch {
 		case q.Remaining <= 0:
-			c.isolatedUntil[q.Fingerprint] = now.Add(isolationTime)
+			c.isolated[q.Fingerprint] = isolatedFingerprint{until: now.Add(isolationTime), service: q.Service}
 		case !now.Before(c.quarantinedUntil[q.Fingerprint]):
 			c.quarantine(q.Fingerprint, now.Add(q.Remaining))
 			added = append(added, q)
@@ -172,7 +186,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, one := range list {
-		delete(c.isolatedUntil, one)
+		delete(c.isolated, one)
 		c.withdraw(one)
 	}
 }
@@ -205,13 +219,8 @@
 
 // removeExpired removes restrictions that have ended and old crashes. The caller holds the lock.
 func (c *crashTracker) removeExpired(now time.Time) {
-	for _, ends := range []map[identifier.Fingerprint]time.Time{c.quarantinedUntil, c.isolatedUntil} {
-		for f, end := range ends {
-			if !now.Before(end) {
-				delete(ends, f)
-			}
-		}
-	}
+	maps.DeleteFunc(c.quarantinedUntil, func(_ identifier.Fingerprint, end time.Time) bool { return !now.Before(end) })
+	maps.DeleteFunc(c.isolated, func(_ identifier.Fingerprint, i isolatedFingerprint) bool { return !now.Before(i.until) })
 	for f, s := range c.suspects {
 		if now.Sub(s.lastCrash) > locator.CrashWindow {
 			c.withdraw(f)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -16,6 +16,8 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
 )
 
@@ -326,16 +328,71 @@
 	d.setRoute(scatterRoute(crashingShards, 5, 0.5, time.Second))
 	expect[forwarder.Gathered](t, d.get())
 	waitFor(t, func() bool { return len(d.crashes()) == 2 })
-	expect[forwarder.Gathered](t, d.get())
+	d.forgetCrashed(all[0])
+	expect[forwarder.Failed](t, d.get())
 	waitFor(t, func() bool {
 		report, _ := d.forwarder.CrashReport()
 		return len(report.Quarantines) > 0
 	})
 	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonQuarantined)
-	alive := 0
-	for _, id := range []string{"a", "b", "c", "d"} {
-		n, _ := d.servers[encoder.ServerID(string(all[0])+id)].count()
-		alive += 1 - min(n, 1)
+	d.forgetCrashed(all[0])
+	assert.Equal(t, len(d.services[all[0]]), 1, "three servers have crashed")
+}
+
+// forgetCrashed removes the servers of a service that have got a request, as the keepers do some time
+// after a crash.
+func (d *deployment) forgetCrashed(service identifier.ServiceName) {
+	d.services[service] = slices.DeleteFunc(d.services[service], func(s locator.Server) bool {
+		n, _ := d.servers[s.ID].count()
+		return n > 0
+	})
+	d.forwarder.UpdateServers(d.services)
+}
+
+// TestSuspectedRequestIsTriedOnOneServerByAllDocks guards against trials of several docks on a server
+// each.
+func TestSuspectedRequestIsTriedOnOneServerByAllDocks(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	ids := []string{"a", "b", "c", "d", "e"}
+	for _, id := range ids {
+		d.addServer("plates", id, crashesServer)
+	}
+	d.addServer("other", "other", answers("ok"))
+	d.setRoute(matcher.Route{Idempotent: true, Destination: matcher.Single{Service: "plates"}})
+	first := d.forwarder
+	second := d.newForwarder(forwarder.Settings{Domain: "two", Budget: ampleBudget, Seed: 2})
+	t.Cleanup(second.Close)
+	second.UpdateServers(d.services)
+	second.Configure(first.Table())
+	list := []encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: "plates"}}
+	first.SetQuarantines(list)
+	second.SetQuarantines(list)
+	for _, dock := range []*forwarder.Forwarder{first, second, first, second} {
+		d.forwarder = dock
+		d.get()
+	}
+	assert.Equal(t, d.executions(), 1)
+}
+
+// fingerprintOf returns the fingerprint of the tests' request.
+func fingerprintOf(t *testing.T) identifier.Fingerprint {
+	t.Helper()
+	d := newCrashingDeployment(t, "a")
+	d.get()
+	waitFor(t, func() bool { return len(d.crashes()) == 1 })
+	return d.crashes()[0].Fingerprint
+}
+
+// TestSuspectedRequestIsTriedWhereItCrashedServers guards against a request that is tried at a shard that
+// answers it, and then sent to the one whose servers it crashes.
+func TestSuspectedRequestIsTriedWhereItCrashedServers(t *testing.T) {
+	for _, s := range services(crashingShards) {
+		d := newScatteredDeployment(t, crashesServer, crashesServer)
+		d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: s}})
+		expect[forwarder.Failed](t, d.get())
+		assert.Equal(t, d.executions(), 1)
+		a, _ := d.servers[encoder.ServerID(string(s)+"a")].count()
+		b, _ := d.servers[encoder.ServerID(string(s)+"b")].count()
+		assert.Equal(t, a+b, 1)
 	}
-	assert.Assert(t, alive >= 1, "every server of the shard has crashed")
 }
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -11,6 +11,10 @@
 // route's latency is not known yet.
 const defaultIsolationWait = 50 * time.Millisecond
 
+// isolatedRetryAfter is the time after which a caller may retry a request that was not sent because the
+// only server that may run it is down.
+const isolatedRetryAfter = time.Second
+
 // isolation keeps a query whose request may crash servers from reaching more than one of them at a
 // time. A request that a server has answered crashes none. Only the query's goroutine accesses it.
 type isolation struct {
@@ -35,6 +39,9 @@
 // isActive reports whether the request may run on one server at a time only.
 func (i *isolation) isActive() bool { return (i.isSuspect || i.hasLost) && !i.hasAnswer }
 
+// isTrial reports whether the request is sent to find out whether it crashes servers.
+func (i *isolation) isTrial() bool { return i.isSuspect && !i.hasAnswer }
+
 // mustWait reports whether a retry after a loss must wait for the result of another attempt.
 func (i *isolation) mustWait(now time.Time) bool {
 	return i.isActive() && i.inFlight > 0 && (i.hasRetried || now.Before(i.retryWaitsUntil))
@@ -61,8 +68,8 @@
 	}
 }
 
-// begin sends the request to services, or first to a single one, selected by the fingerprint, if an
-// equal request may have crashed servers. It sends nothing if the request is quarantined. It returns
+// begin sends the request to services. If an equal request may have crashed servers, it sends it first to
+// a single one: that whose servers crashed, or one selected by the fingerprint if this is not known. It sends nothing if the request is quarantined. It returns
 // the outcome, or nil if the query goes on.
 func (q *query) begin(services []identifier.ServiceName) Outcome {
 	f := q.forwarder
@@ -79,11 +86,15 @@
 		wait = defaultIsolationWait
 	}
 	q.isolation.retryWaitsUntil = now.Add(wait)
-	q.isolation.isSuspect = f.crashTracker.mustIsolate(now, q.fingerprints)
-	if !q.isolation.isSuspect || len(services) < 2 {
+	suspected, isSuspect := f.crashTracker.suspectedService(now, q.fingerprints)
+	q.isolation.isSuspect = isSuspect
+	if !isSuspect || len(services) < 2 {
 		return q.start(q.delegate(services))
 	}
-	first := int(uint64(q.fingerprints.whole) % uint64(len(services)))
+	first := slices.Index(services, suspected)
+	if first < 0 {
+		first = int(uint64(q.fingerprints.whole) % uint64(len(services)))
+	}
 	q.isolation.held = slices.Delete(slices.Clone(services), first, first+1)
 	return q.start(services[first : first+1])
 }
@@ -101,6 +112,9 @@
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
 		i.held = nil
+		if q.table != nil && q.countRuns() == 0 {
+			return Refused{After: isolatedRetryAfter, Reason: ReasonNoServer}
+		}
 		return q.failServices(held, ReasonLost)
 	}
 	if i.waiting == 0 {
@@ -119,6 +133,15 @@
 	return nil
 }
 
+// countRuns returns the number of attempts that a server may have run.
+func (q *query) countRuns() int {
+	runs := 0
+	for _, j := range q.jobs {
+		runs += j.runs
+	}
+	return runs
+}
+
 // areJobsOver reports whether all jobs have a result.
 func (q *query) areJobsOver() bool {
 	return !slices.ContainsFunc(q.jobs, func(j *job) bool { return !j.isOver })
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -175,7 +175,8 @@
 }
 
 // choose returns the server for the next attempt: the one that the query has a token for, or the best
-// one that was not tried yet.
+// one that was not tried yet. A request that is suspected to crash servers is tried on the same one by
+// all docks.
 func (j *job) choose(now time.Time) (target selector.Target, hasToken, ok bool) {
 	s := j.query.forwarder.selector
 	if id := j.query.tokens[j.service]; id != "" {
@@ -184,6 +185,13 @@
 			return target, true, true
 		}
 	}
+	if j.query.isolation.isTrial() {
+		if len(j.tried) > 0 {
+			return selector.Target{}, false, false
+		}
+		target, ok = s.ChooseFixed(now, j.service, uint64(j.query.fingerprints.path))
+		return target, false, ok
+	}
 	target, ok = s.Choose(now, j.service, j.tried)
 	return target, false, ok
 }
--- a/internal/locator/crash.go
+++ b/internal/locator/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/identifier"
 )
 
 // sequenceMargin is how long after the end of a server an equal request must have been sent to count
@@ -92,3 +93,15 @@
 	}
 	return crashes
 }
+
+// SuspectedService returns the service at which requests with a fingerprint are tried first: the first
+// one by name of those whose servers crashed. It is empty if the docks did not say.
+func SuspectedService(crashes []Crash) identifier.ServiceName {
+	first := identifier.ServiceName("")
+	for _, c := range crashes {
+		if c.Service != "" && (first == "" || c.Service < first) {
+			first = c.Service
+		}
+	}
+	return first
+}
--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -139,22 +139,20 @@
 // must run isolated, in ascending order.
 func (c *CrashTracker) Quarantines(now time.Time) []encoder.Quarantine {
 	c.removeExpired(now)
-	remaining := map[identifier.Fingerprint]time.Duration{}
+	known := map[identifier.Fingerprint]encoder.Quarantine{}
 	for _, r := range c.reports {
 		for _, f := range fingerprints(r.crashes) {
-			if Assess(c.crashes(f)) != SuspicionNone {
-				remaining[f] = 0
+			if all := c.crashes(f); Assess(all) != SuspicionNone {
+				known[f] = encoder.Quarantine{Fingerprint: f, Service: SuspectedService(all)}
 			}
 		}
 	}
 	for f, q := range c.quarantines {
-		remaining[f] = max(0, q.until.Sub(now))
+		known[f] = encoder.Quarantine{Fingerprint: f, Remaining: max(0, q.until.Sub(now)), Service: known[f].Service}
 	}
-	list := []encoder.Quarantine{}
-	for _, f := range slices.Sorted(maps.Keys(remaining)) {
-		list = append(list, encoder.Quarantine{Fingerprint: f, Remaining: remaining[f]})
-	}
-	return list
+	return slices.SortedFunc(maps.Values(known), func(a, b encoder.Quarantine) int {
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
+	})
 }
 
 // isQuarantined reports whether requests with a fingerprint must not run.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -5,6 +5,7 @@
 package selector
 
 import (
+	"encoding/binary"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -197,6 +200,25 @@
 	return best.target(now, bestScore), true
 }
 
+// ChooseFixed returns the server of a service that all docks choose for a key, by rendezvous hashing of
+// the servers that send heartbeats. It returns false if there is none, or if it lacks a token of its
+// limit.
+func (s *Selector) ChooseFixed(now time.Time, service identifier.ServiceName, key uint64) (Target, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	best, bestScore := (*server)(nil), uint64(0)
+	for _, v := range s.services[service] {
+		score := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(v.info.ID), key))
+		if !v.info.Silent && (best == nil || score > bestScore) {
+			best, bestScore = v, score
+		}
+	}
+	if best == nil || best.lacksToken(now) {
+		return Target{}, false
+	}
+	return best.target(now, best.score(now, s.slowServers[best.info.ID])), true
+}
+
 // Find returns a server of a service by its ID. It returns false if there is none.
 func (s *Selector) Find(now time.Time, service identifier.ServiceName, id encoder.ServerID) (Target, bool) {
 	s.mutex.Lock()
