Requests that ran beside others no longer crowd out the one that ends servers

What callers saw: after servers had ended under many requests, a dock held no end against a further one, so that a request which ends servers ran unsuspected.

Cause: the table of suspects had 64 places, kept for ten minutes, and refused new ones when full. Each request that is in flight when a server ends takes one or two.

Fix: 256 places, and the suspect that makes room is the one whose crashes come from the fewest requests, of several the oldest. What gives way first is thus a request that was lost once.

TestInnocentRequestsCrowdOutTheOneThatCrashesServers fails before ('does not hold after 5 seconds').

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -19,7 +20,7 @@
 
 const (
 	// maxSuspects bounds the fingerprints with crashes that a dock keeps.
-	maxSuspects = 64
+	maxSuspects = 256
 	// isolationTime is how long a fingerprint runs isolated after a keeper has listed it.
 	isolationTime = locator.CrashWindow
 )
@@ -142,7 +143,7 @@
 }
 
 // recordCrash records that a server crashed while it ran a request, unless the request is
-// quarantined or there are maxSuspects others. It reports whether the crashes that this dock knows of
+// quarantined. It reports whether the crashes that this dock knows of
 // suffice to quarantine the request, which it then does.
 func (c *crashTracker) recordCrash(now time.Time, crash locator.Crash) bool {
 	c.mutex.Lock()
@@ -151,9 +152,12 @@
 	c.crashCount++
 	f := crash.Fingerprint
 	s, isKnown := c.suspects[f]
-	if now.Before(c.quarantinedUntil[f]) || (!isKnown && len(c.suspects) >= maxSuspects) {
+	if now.Before(c.quarantinedUntil[f]) {
 		return false
 	}
+	if !isKnown && len(c.suspects) >= maxSuspects {
+		c.withdraw(c.leastSuspect())
+	}
 	c.version++
 	s = suspect{crashes: locator.AppendCrash(s.crashes, crash), lastCrash: now}
 	c.suspects[f] = s
@@ -164,6 +168,27 @@
 	return true
 }
 
+// leastSuspect returns the suspect whose crashes come from the fewest requests, and of several the one
+// with the oldest last crash. Requests that merely ran beside one that ends servers rarely come again. The
+// caller holds the lock.
+func (c *crashTracker) leastSuspect() identifier.Fingerprint {
+	return slices.MinFunc(slices.Collect(maps.Keys(c.suspects)), func(a, b identifier.Fingerprint) int {
+		return cmp.Or(
+			cmp.Compare(c.suspects[a].countRequests(), c.suspects[b].countRequests()),
+			c.suspects[a].lastCrash.Compare(c.suspects[b].lastCrash),
+		)
+	})
+}
+
+// countRequests returns the number of requests that the crashes come from.
+func (s suspect) countRequests() int {
+	requests := map[string]bool{}
+	for _, crash := range s.crashes {
+		requests[crash.Request] = true
+	}
+	return len(requests)
+}
+
 // quarantine starts a quarantine. The crashes are no longer needed. The caller holds the lock.
 func (c *crashTracker) quarantine(f identifier.Fingerprint, until time.Time) {
 	c.quarantinedUntil[f] = until
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -396,3 +396,29 @@
 		assert.Equal(t, a+b, 1)
 	}
 }
+
+// TestInnocentRequestsCrowdOutTheOneThatCrashesServers guards against a table of suspects that is full of
+// requests which ran beside others when servers ended.
+func TestInnocentRequestsCrowdOutTheOneThatCrashesServers(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.servedBy(after(5*time.Second, answers("late")), "a")
+	for round := range 8 {
+		var requests sync.WaitGroup
+		for i := range 40 {
+			requests.Go(func() {
+				d.sendTo(context.Background(), "GET", fmt.Sprintf("/x/%d/%d", round, i), "", 100*time.Millisecond)
+			})
+		}
+		requests.Wait()
+	}
+	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	suspects := d.forwarder.CrashStats().Suspects
+	assert.Assert(t, suspects >= 64 && suspects <= 256, "%d", suspects)
+	d.services["plates"] = nil
+	d.addServer("plates", "b", crashesServer)
+	d.get()
+	waitFor(t, func() bool {
+		report, _ := d.forwarder.CrashReport()
+		return slices.ContainsFunc(report.Crashes, func(c encoder.Crash) bool { return c.Server == "b" })
+	})
+}
