--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -15,9 +15,11 @@
 	// before the fingerprint is quarantined. It is greater than one because a request may merely
 	// have run on the same server as the one that crashed it.
 	crashLimit = 3
-	// QuarantineTime is the duration of a fingerprint's first quarantine. Each further one is twice
-	// as long as the one before, up to maxQuarantineTime.
+	// QuarantineTime is the duration of a fingerprint's first quarantine. Each further one is
+	// quarantineGrowth times as long as the one before, up to maxQuarantineTime, so that no more than
+	// three end in a day.
 	QuarantineTime    = 10 * time.Minute
+	quarantineGrowth  = 8
 	maxQuarantineTime = 24 * time.Hour
 	// CrashWindow is the time after which a crash no longer counts.
 	CrashWindow = 10 * time.Minute
@@ -114,7 +116,7 @@
 	switch {
 	case c.isQuarantined(now, f):
 	case wasQuarantined:
-		c.quarantine(f, now, min(2*last.duration, maxQuarantineTime))
+		c.quarantine(f, now, min(quarantineGrowth*last.duration, maxQuarantineTime))
 	case Assess(all) == SuspicionQuarantined:
 		c.quarantine(f, now, QuarantineTime)
 	}
