Plays count as crashes only the runs at servers that crash

In a play whose request crashes the servers of some shards, the runs that other shards answered counted as crashes, so that the third of them began the stability window seconds too early. Arrivals are counted as before, those at shards that answer included.

--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -72,9 +72,12 @@
 	}
 }
 
-// crashes returns the executions of the request, each of which crashed a server, in the order of their
-// times.
-func (c *crasher) crashes() []standin.Execution { return c.collect(c.deployment.history.runsOf) }
+// crashes returns the executions of the request that crashed a server, in the order of their times.
+func (c *crasher) crashes() []standin.Execution {
+	return slices.DeleteFunc(c.collect(c.deployment.history.runsOf), func(e standin.Execution) bool {
+		return !c.deployment.layout.crashesServersOf(e.Service)
+	})
+}
 
 // arrivals returns the times at which the request reached servers, whether they ran it or not.
 func (c *crasher) arrivals() []standin.Execution { return c.collect(c.deployment.history.arrivalsOf) }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -75,6 +75,9 @@
 	crashes func(service string) bool
 }
 
+// crashesServersOf reports whether requests crash the servers of a service.
+func (l layout) crashesServersOf(service string) bool { return l.crashes == nil || l.crashes(service) }
+
 // standardLayout is the layout of the deployments that get random faults. There are enough shards and
 // docks for docks to own shards.
 func standardLayout() layout {
@@ -257,7 +260,7 @@
 	}
 	d.serverNumber++
 	options := []standin.Option{standin.WithMisdirected(d.history.recordMisdirected)}
-	if l := d.layout; l.crashes == nil || l.crashes(service) {
+	if l := d.layout; l.crashesServersOf(service) {
 		options = append(options, standin.WithCrash(crashPath, d.restartBackend), standin.WithCrashDelay(l.crashDelay))
 		if l.isSilentCrash {
 			options = append(options, standin.WithSilentCrash())
