A request stays isolated when all hosts restart before its quarantine

What callers saw (in a play of our own): a request that had ended 40 servers reached all shards again after all hosts had lost power at the same moment: 41 arrivals late.

Cause: keepers saved isolated fingerprints together with the quarantines, but did not restore them. The crashes that led to the isolation are in memory only, on docks and keepers.

--- a/internal/broadcaster/saver.go
+++ b/internal/broadcaster/saver.go
@@ -18,7 +18,7 @@
 		b.log.Warn().Err(err).Msg(recorder.EventQuarantinesUnread)
 		return
 	}
-	for _, f := range b.crashTracker.Adopt(now, quarantines) {
+	for _, f := range b.crashTracker.Restore(now, quarantines) {
 		b.logFinding(f)
 	}
 	b.updateQuarantines(now)
--- a/internal/locator/crashtracker.go
+++ b/internal/locator/crashtracker.go
@@ -45,12 +45,18 @@
 }
 
 // quarantine is the latest quarantine of a fingerprint. It is kept for another duration after its
-// end; until then one crash suffices for the next one.
+// end, CrashWindow at least; until then one crash suffices for the next one.
 type quarantine struct {
-	until    time.Time
+	until time.Time
+	// duration is zero if the fingerprint was only isolated before a restart.
 	duration time.Duration
+	// service is the service whose servers the requests are suspected to crash, or empty.
+	service identifier.ServiceName
 }
 
+// keptUntil returns when the quarantine is forgotten.
+func (q quarantine) keptUntil() time.Time { return q.until.Add(max(q.duration, CrashWindow)) }
+
 // NewCrashTracker returns a CrashTracker without suspects.
 func NewCrashTracker() *CrashTracker {
 	return &CrashTracker{reports: map[identifier.Incarnation]crashReport{}, quarantines: map[identifier.Fingerprint]quarantine{}}
@@ -116,7 +122,7 @@
 	switch {
 	case c.isQuarantined(now, f):
 	case wasQuarantined:
-		c.quarantine(f, now, min(quarantineGrowth*last.duration, maxQuarantineTime))
+		c.quarantine(f, now, min(max(QuarantineTime, quarantineGrowth*last.duration), maxQuarantineTime))
 	case Assess(all) == SuspicionQuarantined:
 		c.quarantine(f, now, QuarantineTime)
 	}
@@ -137,6 +143,21 @@
 	return findings
 }
 
+// Restore adds the quarantines that an earlier process of this keeper saved, and returns those that have
+// not ended. The crashes of a fingerprint that was isolated are lost with that process and perhaps with
+// those of all docks, so that one more suffices to quarantine it.
+func (c *CrashTracker) Restore(now time.Time, list []encoder.Quarantine) []CrashFinding {
+	for _, q := range list {
+		if q.Remaining <= 0 {
+			c.quarantine(q.Fingerprint, now, 0)
+			restored := c.quarantines[q.Fingerprint]
+			restored.service = q.Service
+			c.quarantines[q.Fingerprint] = restored
+		}
+	}
+	return c.Adopt(now, list)
+}
+
 // Quarantines returns the quarantined fingerprints, and with a remaining time of zero those that
 // must run isolated, in ascending order.
 func (c *CrashTracker) Quarantines(now time.Time) []encoder.Quarantine {
@@ -150,7 +171,7 @@
 		}
 	}
 	for f, q := range c.quarantines {
-		known[f] = encoder.Quarantine{Fingerprint: f, Remaining: max(0, q.until.Sub(now)), Service: known[f].Service}
+		known[f] = encoder.Quarantine{Fingerprint: f, Remaining: max(0, q.until.Sub(now)), Service: cmp.Or(known[f].Service, q.service)}
 	}
 	return slices.SortedFunc(maps.Values(known), func(a, b encoder.Quarantine) int {
 		return cmp.Compare(a.Fingerprint, b.Fingerprint)
@@ -190,7 +211,7 @@
 // they lasted.
 func (c *CrashTracker) removeExpired(now time.Time) {
 	maps.DeleteFunc(c.reports, func(_ identifier.Incarnation, r crashReport) bool { return now.Sub(r.at) > CrashWindow })
-	maps.DeleteFunc(c.quarantines, func(_ identifier.Fingerprint, q quarantine) bool { return now.Sub(q.until) > q.duration })
+	maps.DeleteFunc(c.quarantines, func(_ identifier.Fingerprint, q quarantine) bool { return now.After(q.keptUntil()) })
 }
 
 // fingerprints returns the distinct fingerprints of crashes, in ascending order.
--- a/internal/locator/crashtracker_test.go
+++ b/internal/locator/crashtracker_test.go
@@ -161,3 +161,26 @@
 	assert.Equal(t, len(crashes), 4)
 	assert.Equal(t, locator.Assess(crashes), locator.SuspicionQuarantined)
 }
+
+// TestIsolationIsLostWhenAllProcessesRestart guards against a request that has ended servers and may run
+// everywhere again after a restart of all hosts, because it was not quarantined yet.
+func TestIsolationIsLostWhenAllProcessesRestart(t *testing.T) {
+	c := locator.NewCrashTracker()
+	now := time.Unix(100, 0)
+	crashes := crashesOf("a", 3, 0)
+	for i := range crashes {
+		crashes[i].Service = "plates"
+	}
+	c.Report(now, 1, crashes)
+	saved := c.Quarantines(now)
+	restarted := locator.NewCrashTracker()
+	restarted.Restore(now, saved)
+	isolated := encoder.Quarantine{Fingerprint: suspect, Service: "plates"}
+	assert.DeepEqual(t, restarted.Quarantines(now), []encoder.Quarantine{isolated})
+	later := now.Add(time.Minute)
+	restarted.Report(later, 2, crashesOf("b", 1, 0))
+	assert.Equal(t, restarted.Quarantines(later)[0].Remaining, locator.QuarantineTime)
+	innocent := locator.NewCrashTracker()
+	innocent.Restore(now, saved)
+	assert.Equal(t, len(innocent.Quarantines(now.Add(locator.CrashWindow+time.Second))), 0)
+}
--- a/soak/crash_play_test.go
+++ b/soak/crash_play_test.go
@@ -180,3 +180,20 @@
 	l.crashes = func(service string) bool { return service == shardName(3) || service == shardName(7) }
 	play(t, 6, "-all/x", l, 0)
 }
+
+// TestRequestCrashesServersAgainAfterARestartBeforeItsQuarantine restarts all hosts, two keepers with
+// empty disks, when a request is isolated and not quarantined yet.
+func TestRequestCrashesServersAgainAfterARestartBeforeItsQuarantine(t *testing.T) {
+	t.Parallel()
+	l := incompleteIndex()
+	l.crashDelay = runTimeBeforeCrash
+	c := newCrashRunWith(t, 7, crashPath+"-all/x", l)
+	c.patience = impatience
+	c.send(context.Background(), playPause, playPause)
+	time.Sleep(2 * time.Second)
+	c.wipeAll()
+	c.calmSince = time.Now()
+	time.Sleep(stabilityWindow + l.downTime)
+	c.send(context.Background(), playTime/2, playPause)
+	c.check()
+}
