A repeat after a retry that was not sent is charged to the budget

Cause: an attempt that is not sent gives its charge back, and the next one was exempt because 'nothing was sent' - but an attempt before may have been, or an owner that this dock replaced.

Fix: the exemption holds only if no server and no replaced owner may have got the request.

TestRepeatAfterARetryThatWasNotSentIsFree: 200 arrivals for 100 requests and 20 repeats before, within the budget after.

--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -311,6 +311,7 @@
 	for _, s := range d.services {
 		j := newJob(q, s, latency)
 		j.maxRuns--
+		j.isReplacement = true
 		q.jobs = append(q.jobs, j)
 		if j.mayRunMore() && j.startAttempt(now, CauseRetry, true) {
 			continue
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -13,6 +13,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/selector"
 )
 
 // crashesServerLater lets a request run for a while before it closes its server, also if the request
@@ -87,3 +88,24 @@
 	time.Sleep(time.Second)
 	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
 }
+
+// TestRepeatAfterARetryThatWasNotSentIsFree guards against repeats beyond the budget when a server loses
+// a request and the next one refuses connections.
+func TestRepeatAfterARetryThatWasNotSentIsFree(t *testing.T) {
+	const slack, sent = 20, 100
+	d := newDeployment(t, selector.BudgetLimits{Slack: slack, Window: time.Minute})
+	for _, id := range []string{"first", "refuses", "last"} {
+		d.addServer("plates", id, dropsConnection)
+	}
+	d.servers["refuses"].server.Close()
+	d.setRoute(matcher.Route{Idempotent: true, Attempts: 3, Destination: matcher.Single{Service: "plates"}})
+	for n := range sent {
+		// A later start of a server has no failures yet, so that it is chosen before the last one.
+		list := d.services["plates"]
+		list[0].Born, list[1].Born = int64(n+2), int64(n+2)
+		list[1].ColdUntil = time.Now().Add(time.Minute)
+		d.forwarder.UpdateServers(d.services)
+		d.get()
+	}
+	assert.Assert(t, d.executions() <= sent+slack, "%d", d.executions())
+}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -37,6 +37,8 @@
 	isOver   bool
 	// maxRuns bounds runs.
 	maxRuns int
+	// isReplacement is set if an owner that was replaced may have sent the request to the service.
+	isReplacement bool
 	// hasLost is set after a server has lost the request, and hasLostRepeat after one has that got it
 	// although an earlier crash or loss was known. isAwaitingIsolation is set while the job waits to
 	// retry until the query's isolation allows it.
@@ -229,9 +231,9 @@
 		j.runs--
 		j.reason = ReasonNotRun
 	case AttemptNotSent:
-		// The request was not sent, so the next attempt does not count as a repeat.
-		isBudgetExempt = true
 		j.runs--
+		// The request was not sent. Unless another attempt was, the next one is no repeat.
+		isBudgetExempt = j.runs == 0 && !j.isReplacement
 		j.reason = ReasonNoServer
 		if r.attempt.isBudgeted {
 			j.query.forwarder.selector.ReturnRepeat(now, j.service)
