A dock whose links return does not take the servers for crashed

What callers saw (by a test): after a dock had been cut off for two seconds, up to 24 crashes were held against requests that had run meanwhile, though no server had ended.

Cause: a refused connection counts if another server is reached within the next 8 s. A dock that is cut off reaches them again when its links return, which says nothing of what was refused before.

Fix: the wait for another server ends without a result when the dock is cut off.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -131,6 +131,8 @@
 	l.set(linkUp)
 	waitFor(t, func() bool { return !d.forwarder.IsDetached() })
 	expect[forwarder.Answer](t, d.get())
+	// What was observed while the links were down must not count once they are up.
+	time.Sleep(time.Second)
 	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
 }
 
--- a/internal/forwarder/detachment.go
+++ b/internal/forwarder/detachment.go
@@ -63,11 +63,19 @@
 // signal returns the channel that is closed when the dock is cut off, or nil if it is already.
 func (d *detachment) signal() <-chan struct{} {
 	channel := *d.detached.Load()
+	if isClosed(channel) {
+		return nil
+	}
+	return channel
+}
+
+// isClosed reports whether a channel on which nothing is sent has been closed.
+func isClosed(channel <-chan struct{}) bool {
 	select {
 	case <-channel:
-		return nil
+		return true
 	default:
-		return channel
+		return false
 	}
 }
 
@@ -177,20 +185,30 @@
 
 // awaitCorroboration waits for a sign that a server failed by itself at a moment: another server was
 // reached since, or the keepers no longer know this start of the server as alive. It returns false if
-// there is none in time, because then the links of this dock may have failed.
+// there is none in time, or if this dock is cut off meanwhile: then its links may have failed, and that
+// they are up again later says nothing of the server.
 func (d *detachment) awaitCorroboration(at time.Time, target selector.Target) bool {
 	f := d.forwarder
+	detached := d.signal()
+	if detached == nil {
+		return false
+	}
 	d.waiting.Add(1)
 	defer d.waiting.Add(-1)
 	d.connectionFailed(at, target.ID)
 	ticker := f.clock.NewTicker(corroborationInterval)
 	defer ticker.Stop()
 	for f.clock.Now().Sub(at) < corroborationTimeout {
+		if isClosed(detached) {
+			return false
+		}
 		if d.monitor.HasReachedSince(at) || !f.selector.IsAlive(target.ID, target.Born) {
 			return true
 		}
 		select {
 		case <-ticker.C:
+		case <-detached:
+			return false
 		case <-f.ctx.Done():
 			return false
 		}
