Explain a suspected request that is refused, and count unanswered ones

A request that may be tried on one server only is refused with the reason 'suspected' and its fingerprint while that server is down, so that explain finds the crashes behind it; it said 'no_server'. Explain shows evidence and given-up requests of 'server ended'. forwarder.unanswered and forwarder.unanswered_dropped count what a dock keeps in case a server ends.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -71,6 +71,10 @@
 	Fingerprint     uint64 `json:"fingerprint"`
 	PathFingerprint uint64 `json:"path_fingerprint"`
 	Error           string `json:"error"`
+	// Evidence tells how the end of a server became known, and GivenUp how many of the requests without
+	// an answer the dock no longer waited for.
+	Evidence string `json:"evidence"`
+	GivenUp  int    `json:"given_up"`
 	// Text is the line as it was read.
 	Text string `json:"-"`
 }
--- a/internal/explainer/text.go
+++ b/internal/explainer/text.go
@@ -149,6 +149,8 @@
 	if l.Limit > 0 {
 		add("requests a second", fmt.Sprintf("%g", l.Limit))
 	}
+	add("given up", fmt.Sprint(l.GivenUp))
+	add("evidence", l.Evidence)
 	add("request", l.Request)
 	add("fingerprint", fmt.Sprint(l.Fingerprint))
 	if l.IsRepeat {
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -278,6 +278,8 @@
 	Suspects    int
 	// Crashes counts the crashes that were recorded since the start, once for each fingerprint.
 	Crashes int
+	// Unanswered are the figures about requests that servers have not answered.
+	Unanswered accuser.Stats
 }
 
 // CrashStats returns the current figures.
@@ -285,7 +287,7 @@
 	c := f.crashTracker
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return CrashStats{Quarantined: len(c.quarantinedUntil), Suspects: len(c.suspects), Crashes: c.crashCount}
+	return CrashStats{Quarantined: len(c.quarantinedUntil), Suspects: len(c.suspects), Crashes: c.crashCount, Unanswered: f.accuser.Stats()}
 }
 
 // CrashReport returns what this dock holds against requests, and a version that changes with it.
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -113,7 +113,7 @@
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
 		i.held = nil
 		if q.table != nil && q.countRuns() == 0 {
-			return Refused{After: isolatedRetryAfter, Reason: ReasonNoServer}
+			return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
 		}
 		return q.failServices(held, ReasonLost)
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -200,6 +200,9 @@
 
 // missingServerReason returns why there is no server for an attempt.
 func (j *job) missingServerReason(now time.Time) Reason {
+	if j.query.isolation.isTrial() {
+		return ReasonSuspected
+	}
 	if j.query.forwarder.selector.IsLimited(now, j.service) {
 		return ReasonLimited
 	}
@@ -235,6 +238,9 @@
 		// The request was not sent. Unless another attempt was, the next one is no repeat.
 		isBudgetExempt = j.runs == 0 && !j.isReplacement
 		j.reason = ReasonNoServer
+		if j.query.isolation.isTrial() {
+			j.reason = ReasonSuspected
+		}
 		if r.attempt.isBudgeted {
 			j.query.forwarder.selector.ReturnRepeat(now, j.service)
 		}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -363,6 +363,8 @@
 		return Failed{Reason: r.reason}
 	case r.reason == ReasonLimited:
 		return c.query.refuseLimited([]identifier.ServiceName{r.service}, 0)
+	case r.reason == ReasonSuspected:
+		return Refused{After: isolatedRetryAfter, Reason: r.reason}
 	default:
 		return Refused{After: c.query.forwarder.retryAfter(), Reason: r.reason}
 	}
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -110,7 +110,7 @@
 	if s.name == outcomeRefused {
 		line = line.Int64(recorder.FieldRetryAfter, s.after.Milliseconds())
 	}
-	if s.reason == ReasonQuarantined {
+	if s.reason == ReasonQuarantined || s.reason == ReasonSuspected {
 		line = line.Uint64(recorder.FieldFingerprint, uint64(q.fingerprints.whole)).Uint64(recorder.FieldPathFingerprint, uint64(q.fingerprints.path))
 	}
 	if s.reason == ReasonCongested {
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -139,6 +139,12 @@
 	m.Computed("forwarder.crashes", measurer.Count, "Crashes of servers at which requests were lost.", func() int64 {
 		return int64(d.forwarder.CrashStats().Crashes)
 	})
+	m.Computed("forwarder.unanswered", measurer.Count, "Requests at servers that this dock no longer waits for.", func() int64 {
+		return int64(d.forwarder.CrashStats().Unanswered.Left)
+	})
+	m.Computed("forwarder.unanswered_dropped", measurer.Count, "Such requests that were dropped because there were too many.", func() int64 {
+		return int64(d.forwarder.CrashStats().Unanswered.Dropped)
+	})
 	m.Computed("selector.servers", measurer.Count, "Backend servers that may get requests.", func() int64 {
 		return int64(d.forwarder.Stats().Servers)
 	})
