--- a/internal/accuser/accuser.go
+++ b/internal/accuser/accuser.go
@@ -103,12 +103,9 @@
 func (a *Accuser) Answered(now time.Time, r *Run) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.remove(r)
-	for _, other := range slices.Clone(a.runs[r.Start]) {
-		if !other.LeftAt.IsZero() && now.Sub(other.LeftAt) > aftermath {
-			a.remove(other)
-		}
-	}
+	a.removeWhere(r.Start, func(other *Run) bool {
+		return other == r || !other.LeftAt.IsZero() && now.Sub(other.LeftAt) > aftermath
+	})
 }
 
 // Left records that this dock no longer waits for the answer to a request that was sent. It returns
@@ -137,9 +134,7 @@
 			accused = append(accused, *r)
 		}
 	}
-	for _, r := range slices.Clone(a.runs[end.Start]) {
-		a.remove(r)
-	}
+	a.removeWhere(end.Start, func(*Run) bool { return true })
 	return accused
 }
 
@@ -210,14 +205,19 @@
 
 // remove removes a run. The caller holds the lock.
 func (a *Accuser) remove(r *Run) {
-	if r.isOver {
-		return
-	}
-	r.isOver = true
-	rest := slices.DeleteFunc(a.runs[r.Start], func(other *Run) bool { return other == r })
+	a.removeWhere(r.Start, func(other *Run) bool { return other == r })
+}
+
+// removeWhere removes the runs of a start of a server for which a function returns true. The caller
+// holds the lock.
+func (a *Accuser) removeWhere(s Start, isRemoved func(*Run) bool) {
+	rest := slices.DeleteFunc(a.runs[s], func(r *Run) bool {
+		r.isOver = r.isOver || isRemoved(r)
+		return r.isOver
+	})
 	if len(rest) == 0 {
-		delete(a.runs, r.Start)
+		delete(a.runs, s)
 		return
 	}
-	a.runs[r.Start] = rest
+	a.runs[s] = rest
 }
