A request is tried on certain servers only after three crashes, and on a second one if the first is down

What callers saw (by a test): after one server had crashed under a request, equal requests that harm nothing were refused at once at that dock, until the keepers had noticed the crash.

Fix: it applies from three crashes on, as isolation by the keepers does; before that, the request goes to one service first, to its best server. A second server is tried only if the first refused the connection, so two are reached while they are down.

--- a/internal/forwarder/crashtracker.go
+++ b/internal/forwarder/crashtracker.go
@@ -65,21 +65,30 @@
 	return max(0, c.quarantinedUntil[f.whole].Sub(now), c.quarantinedUntil[f.path].Sub(now))
 }
 
-// suspectedService reports whether a request may run on one server at a time only until it is answered,
-// and which service must answer it first. That is empty if it is not known.
-func (c *crashTracker) suspectedService(now time.Time, f fingerprints) (service identifier.ServiceName, isSuspect bool) {
+// suspicion is what a dock knows against a request that may run on one server at a time only until it is
+// answered.
+type suspicion struct {
+	isSuspect bool
+	// isTrial is set if equal requests crashed so many servers that this one is tried on few.
+	isTrial bool
+	// service is the service that must answer first, or empty if it is not known.
+	service identifier.ServiceName
+}
+
+// suspicionOf returns what is known against a request.
+func (c *crashTracker) suspicionOf(now time.Time, f fingerprints) suspicion {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, one := range f.list() {
 		listed := c.isolated[one]
 		switch own := c.suspects[one].crashes; {
 		case now.Before(listed.until):
-			return listed.service, true
+			return suspicion{isSuspect: true, isTrial: true, service: listed.service}
 		case len(own) > 0:
-			return locator.SuspectedService(own), true
+			return suspicion{isSuspect: true, isTrial: locator.Assess(own) != locator.SuspicionNone, service: locator.SuspectedService(own)}
 		}
 	}
-	return "", false
+	return suspicion{}
 }
 
 // setQuarantines adds a keeper's list of quarantines and returns those that are new. Quarantines
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -11,15 +11,19 @@
 // route's latency is not known yet.
 const defaultIsolationWait = 50 * time.Millisecond
 
+// trialServers is the number of servers of a service on which a suspected request may be tried. The second
+// one serves requests that merely ran beside others, if the first one is down.
+const trialServers = 2
+
 // isolatedRetryAfter is the time after which a caller may retry a request that was not sent because the
-// only server that may run it is down.
+// servers on which it may be tried are down.
 const isolatedRetryAfter = time.Second
 
 // isolation keeps a query whose request may crash servers from reaching more than one of them at a
 // time. A request that a server has answered crashes none. Only the query's goroutine accesses it.
 type isolation struct {
-	// isSuspect is set if an earlier request with the fingerprint crashed a server.
-	isSuspect bool
+	// suspicion is what was known when the query began.
+	suspicion
 	// hasLost is set after a server has lost the request, hasRetried after it was sent again since,
 	// and hasAnswer after a server has answered it.
 	hasLost    bool
@@ -39,8 +43,8 @@
 // isActive reports whether the request may run on one server at a time only.
 func (i *isolation) isActive() bool { return (i.isSuspect || i.hasLost) && !i.hasAnswer }
 
-// isTrial reports whether the request is sent to find out whether it crashes servers.
-func (i *isolation) isTrial() bool { return i.isSuspect && !i.hasAnswer }
+// isInTrial reports whether the request is sent to find out whether it crashes servers.
+func (i *isolation) isInTrial() bool { return i.isTrial && !i.hasAnswer }
 
 // mustWait reports whether a retry after a loss must wait for the result of another attempt.
 func (i *isolation) mustWait(now time.Time) bool {
@@ -86,12 +90,12 @@
 		wait = defaultIsolationWait
 	}
 	q.isolation.retryWaitsUntil = now.Add(wait)
-	suspected, isSuspect := f.crashTracker.suspectedService(now, q.fingerprints)
-	q.isolation.isSuspect = isSuspect
-	if !isSuspect || len(services) < 2 {
+	known := f.crashTracker.suspicionOf(now, q.fingerprints)
+	q.isolation.suspicion = known
+	if !known.isSuspect || len(services) < 2 {
 		return q.start(q.delegate(services))
 	}
-	first := slices.Index(services, suspected)
+	first := slices.Index(services, known.service)
 	if first < 0 {
 		first = int(uint64(q.fingerprints.whole) % uint64(len(services)))
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -177,8 +177,8 @@
 }
 
 // choose returns the server for the next attempt: the one that the query has a token for, or the best
-// one that was not tried yet. A request that is suspected to crash servers is tried on the same one by
-// all docks.
+// one that was not tried yet. A request that is suspected to crash servers is tried on the same ones by
+// all docks, and not on a second one that could run it too.
 func (j *job) choose(now time.Time) (target selector.Target, hasToken, ok bool) {
 	s := j.query.forwarder.selector
 	if id := j.query.tokens[j.service]; id != "" {
@@ -187,11 +187,11 @@
 			return target, true, true
 		}
 	}
-	if j.query.isolation.isTrial() {
-		if len(j.tried) > 0 {
+	if j.query.isolation.isInTrial() {
+		if j.runs > 0 || len(j.tried) >= trialServers {
 			return selector.Target{}, false, false
 		}
-		target, ok = s.ChooseFixed(now, j.service, uint64(j.query.fingerprints.path))
+		target, ok = s.ChooseFixed(now, j.service, uint64(j.query.fingerprints.path), j.tried)
 		return target, false, ok
 	}
 	target, ok = s.Choose(now, j.service, j.tried)
@@ -200,7 +200,7 @@
 
 // missingServerReason returns why there is no server for an attempt.
 func (j *job) missingServerReason(now time.Time) Reason {
-	if j.query.isolation.isTrial() {
+	if j.query.isolation.isInTrial() {
 		return ReasonSuspected
 	}
 	if j.query.forwarder.selector.IsLimited(now, j.service) {
@@ -238,7 +238,7 @@
 		// The request was not sent. Unless another attempt was, the next one is no repeat.
 		isBudgetExempt = j.runs == 0 && !j.isReplacement
 		j.reason = ReasonNoServer
-		if j.query.isolation.isTrial() {
+		if j.query.isolation.isInTrial() {
 			j.reason = ReasonSuspected
 		}
 		if r.attempt.isBudgeted {
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -37,8 +37,8 @@
 	ReasonQuarantined
 	// ReasonLimited means that the servers have named limits that do not permit the request now.
 	ReasonLimited
-	// ReasonSuspected means that requests with this fingerprint may crash servers, and that the only
-	// server on which they are tried is down.
+	// ReasonSuspected means that requests with this fingerprint may crash servers, and that the
+	// servers on which they are tried are down.
 	ReasonSuspected
 	// ReasonCallerLeft means that the caller no longer waits for the answer.
 	ReasonCallerLeft
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -201,15 +201,16 @@
 }
 
 // ChooseFixed returns the server of a service that all docks choose for a key, by rendezvous hashing of
-// the servers that send heartbeats. It returns false if there is none, or if it lacks a token of its
-// limit.
-func (s *Selector) ChooseFixed(now time.Time, service identifier.ServiceName, key uint64) (Target, bool) {
+// the servers that send heartbeats, leaving out the excluded ones. It returns false if there is none, or
+// if it lacks a token of its limit.
+func (s *Selector) ChooseFixed(now time.Time, service identifier.ServiceName, key uint64, excluded []encoder.ServerID) (Target, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	best, bestScore := (*server)(nil), uint64(0)
 	for _, v := range s.services[service] {
 		score := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(v.info.ID), key))
-		if !v.info.Silent && (best == nil || score > bestScore) {
+		isCandidate := !v.info.Silent && !slices.Contains(excluded, v.info.ID)
+		if isCandidate && (best == nil || score > bestScore) {
 			best, bestScore = v, score
 		}
 	}
