A dock that hears of no keeper does not ask a replaced server again and again

Cause: five docks are cut off from the keepers for ten seconds while servers are replaced and others get their addresses. They ask the servers they know, the new ones reply 421, and each reply counted as one of the old server: it became reachable again, its latencies were observed.

Evidence: 379 attempts with status 421 in these ten seconds at three servers, 376 of them by the five docks ('out of touch with the keepers' at 10.03 s).

Fix: a server at whose address another one has replied gets nothing for 5 s, twice as long each further time up to a minute, or until the keepers tell of a later start. Nothing is observed of it.

TestReplacedServerIsAskedAgainAndAgain fails before (16 to 25 of 100 requests).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -193,6 +193,11 @@
 	if r.reply != nil {
 		f.observeLimit(now, flight, r.reply.Metadata)
 	}
+	if r.reply != nil && r.reply.Metadata.IsWrongServer {
+		f.detachment.monitor.Answered(now)
+		f.selector.Replaced(now, flight)
+		return
+	}
 	switch r.outcome {
 	case AttemptAnswered:
 		f.detachment.monitor.Answered(now)
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -40,8 +40,11 @@
 	return fmt.Appendf(lines, "Remaining: %s\r\nServer: %s\r\n", a.Remaining, a.Server)
 }
 
-func (testProtocol) ParseMetadata(_ int, header http.Header) sender.ReplyMetadata {
+func (testProtocol) ParseMetadata(status int, header http.Header) sender.ReplyMetadata {
 	f := sender.ReplyMetadata{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	if status == http.StatusMisdirectedRequest {
+		f.NotRun, f.IsWrongServer = true, true
+	}
 	if limit := header.Get("Limit"); limit != "" {
 		f.LimitState = sender.LimitNamed
 		f.Limit, _ = strconv.ParseFloat(limit, 64)
@@ -262,6 +265,11 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// isAnotherServer replies that the address belongs to another server.
+func isAnotherServer(w http.ResponseWriter, _ *http.Request, _ int) {
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 // fails replies with a server error.
 func fails(w http.ResponseWriter, _ *http.Request, _ int) {
 	w.Header().Set("Stamp", "failure")
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,3 +110,36 @@
 	}
 	assert.Assert(t, d.executions() <= sent+slack, "%d", d.executions())
 }
+
+// TestReplacedServerIsAskedAgainAndAgain guards against a dock that does not hear from the keepers and
+// sends requests to the addresses of servers that others have taken over.
+func TestReplacedServerIsAskedAgainAndAgain(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.addServer("plates", "a", isAnotherServer)
+	d.addServer("plates", "b", after(20*time.Millisecond, answers("ok")))
+	d.setRoute(matcher.Route{Idempotent: true, Destination: toPlates})
+	const callers, each = 10, 10
+	send := func() {
+		var requests sync.WaitGroup
+		for range callers {
+			requests.Go(func() {
+				for range each {
+					expect[forwarder.Answer](t, d.get())
+				}
+			})
+		}
+		requests.Wait()
+	}
+	send()
+	n, _ := d.servers["a"].count()
+	assert.Assert(t, n <= callers, "%d of %d requests", n, callers*each)
+	// A later start has the address again.
+	d.servers["a"].mutex.Lock()
+	d.servers["a"].handle = answers("ok")
+	d.servers["a"].mutex.Unlock()
+	d.services["plates"][0].Born++
+	d.forwarder.UpdateServers(d.services)
+	send()
+	n, _ = d.servers["a"].count()
+	assert.Assert(t, n > 2*callers, "%d", n)
+}
--- a/internal/forwarder/serverlogger.go
+++ b/internal/forwarder/serverlogger.go
@@ -44,6 +44,8 @@
 		return recorder.EventServerRecovered
 	case selector.ServerLimited:
 		return recorder.EventServerLimited
+	case selector.ServerReplaced:
+		return recorder.EventServerReplaced
 	case selector.ServerUnlimited:
 		return recorder.EventServerUnlimited
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -67,6 +67,8 @@
 	EventQuarantine = "request quarantined"
 	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
 	EventCrashUnconfirmed = "crash not confirmed"
+	// EventServerReplaced reports that another server replied at the address of a server.
+	EventServerReplaced = "server replaced"
 	// EventServerEnded reports that a server ended that had not answered some requests.
 	EventServerEnded = "server ended"
 	// EventCrashReportLost reports that a dock could not deliver its reports on crashes.
--- a/internal/selector/limit.go
+++ b/internal/selector/limit.go
@@ -236,5 +236,5 @@
 
 // isReachable reports whether requests can be expected to arrive at the server.
 func (v *server) isReachable(now time.Time) bool {
-	return !v.info.Silent && !now.Before(v.blockedUntil)
+	return !v.info.Silent && !now.Before(v.blockedUntil) && !v.isReplaced(now)
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -180,7 +180,7 @@
 	defer s.mutex.Unlock()
 	best, bestScore := (*server)(nil), math.Inf(1)
 	for _, v := range s.services[service] {
-		if slices.Contains(excluded, v.info.ID) || v.lacksToken(now) {
+		if slices.Contains(excluded, v.info.ID) || v.lacksToken(now) || v.isReplaced(now) {
 			continue
 		}
 		score := v.score(now, s.slowServers[v.info.ID]) * (1 + jitter*s.random.Float64())
@@ -209,7 +209,7 @@
 	best, bestScore := (*server)(nil), uint64(0)
 	for _, v := range s.services[service] {
 		score := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(v.info.ID), key))
-		isCandidate := !v.info.Silent && !slices.Contains(excluded, v.info.ID)
+		isCandidate := !v.info.Silent && !v.isReplaced(now) && !slices.Contains(excluded, v.info.ID)
 		if isCandidate && (best == nil || score > bestScore) {
 			best, bestScore = v, score
 		}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -31,6 +31,10 @@
 	// requests while other servers can.
 	initialBlock = 100 * time.Millisecond
 	maxBlock     = 2 * time.Second
+	// initialReplaced and maxReplaced bound the time for which a server gets no requests at all after
+	// another one has replied at its address. A later start that the keepers tell of gets them at once.
+	initialReplaced = 5 * time.Second
+	maxReplaced     = time.Minute
 	// downFailures is the number of consecutive connection failures after which a server counts as
 	// unreachable.
 	downFailures = 2
@@ -54,7 +58,11 @@
 	reportedAt time.Time
 	// blockedUntil is the end of the time in which the server gets no requests because connecting
 	// to it failed. connectFailures counts consecutive failures to connect.
-	blockedUntil    time.Time
+	blockedUntil time.Time
+	// replacedUntil is the end of the time in which the server gets no requests at all because another
+	// server replied at its address. replacedFor is how long that time was.
+	replacedUntil   time.Time
+	replacedFor     time.Duration
 	connectFailures int
 	// limit is what the server last said of the requests that it takes.
 	limit limiter.Statement
@@ -130,10 +138,13 @@
 // slots returns the number of requests that the server runs concurrently, and 1 if it is unknown.
 func (v *server) slots() int { return max(1, v.info.Slots) }
 
-// isUnreachable reports whether connecting to the server failed several times in a row and the
-// server is still blocked.
+// isReplaced reports whether another server replied at the server's address lately.
+func (v *server) isReplaced(now time.Time) bool { return now.Before(v.replacedUntil) }
+
+// isUnreachable reports whether another server has its address, or connecting to the server failed
+// several times in a row and the server is still blocked.
 func (v *server) isUnreachable(now time.Time) bool {
-	return v.connectFailures >= downFailures && now.Before(v.blockedUntil)
+	return v.isReplaced(now) || v.connectFailures >= downFailures && now.Before(v.blockedUntil)
 }
 
 // decay returns the weight of an observation of the given age.
@@ -161,6 +172,21 @@
 	Slots   int
 }
 
+// Replaced ends a request to which another server replied, which has the chosen one's address. What that
+// server says of itself is no observation of the chosen one.
+func (s *Selector) Replaced(now time.Time, f *InFlightRequest) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastAnswer = now
+	v := f.remove()
+	if v == nil {
+		return
+	}
+	v.replacedFor = min(max(initialReplaced, 2*v.replacedFor), maxReplaced)
+	v.replacedUntil = now.Add(v.replacedFor)
+	s.onServerEvent(ServerEvent{Kind: ServerReplaced, Server: v.info.ID, Service: v.info.Service})
+}
+
 // Answered records that a server answered a request, and returns the time since Begin. IsFailure is
 // set if the answer is an error that is of no use to the caller. Load is nil if the server reported
 // none.
@@ -183,6 +209,7 @@
 	}
 	v.connectFailures = 0
 	v.blockedUntil = time.Time{}
+	v.replacedFor = 0
 	v.observe(now, isFailure)
 	if !isFailure && f.usual > 0 {
 		ratio := float64(elapsed) / float64(f.usual)
--- a/internal/selector/serverevent.go
+++ b/internal/selector/serverevent.go
@@ -28,6 +28,8 @@
 	ServerLimited // limited
 	// ServerUnlimited means that the server no longer names a limit.
 	ServerUnlimited // unlimited
+	// ServerReplaced means that another server replied at the server's address.
+	ServerReplaced // replaced
 )
 
 // ServerEvent is a change of the state in which this host sees a server.
--- a/internal/selector/servereventkind_enumer.go
+++ b/internal/selector/servereventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimited"
+const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplaced"
 
-var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59}
+var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59, 67}
 
-const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimited"
+const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplaced"
 
 func (i ServerEventKind) String() string {
 	if i >= ServerEventKind(len(_ServerEventKindIndex)-1) {
@@ -32,9 +32,10 @@
 	_ = x[ServerRecovered-5]
 	_ = x[ServerLimited-6]
 	_ = x[ServerUnlimited-7]
+	_ = x[ServerReplaced-8]
 }
 
-var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited}
+var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited, ServerReplaced}
 
 var _ServerEventKindNameToValueMap = map[string]ServerEventKind{
 	_ServerEventKindName[0:11]:  ServerUnreachable,
@@ -45,6 +46,7 @@
 	_ServerEventKindName[34:43]: ServerRecovered,
 	_ServerEventKindName[43:50]: ServerLimited,
 	_ServerEventKindName[50:59]: ServerUnlimited,
+	_ServerEventKindName[59:67]: ServerReplaced,
 }
 
 var _ServerEventKindLowerNameToValueMap = map[string]ServerEventKind{
@@ -56,6 +58,7 @@
 	_ServerEventKindLowerName[34:43]: ServerRecovered,
 	_ServerEventKindLowerName[43:50]: ServerLimited,
 	_ServerEventKindLowerName[50:59]: ServerUnlimited,
+	_ServerEventKindLowerName[59:67]: ServerReplaced,
 }
 
 var _ServerEventKindNames = []string{
@@ -67,6 +70,7 @@
 	_ServerEventKindName[34:43],
 	_ServerEventKindName[43:50],
 	_ServerEventKindName[50:59],
+	_ServerEventKindName[59:67],
 }
 
 // ServerEventKindString retrieves an enum value from the enum constants string name.
--- a/internal/selector/subset.go
+++ b/internal/selector/subset.go
@@ -128,7 +128,7 @@
 	defer s.mutex.Unlock()
 	targets := []Target{}
 	for _, v := range s.subsets[service] {
-		if len(targets) < limit && !v.info.Silent && !now.Before(v.blockedUntil) {
+		if len(targets) < limit && v.isReachable(now) {
 			targets = append(targets, Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain})
 		}
 	}
