Harmless requests that come often are not quarantined with those that crash servers

Evidence: server-41 was held against ten requests over 0.7 s after its end, and the sum of the docks reached 14 in four seconds.

Fix: a request counts as sent when its first byte is written. Crashes of a request that other services answer are partial: they count only if three servers of one service ended in turn. A suspected request is tried at another service if the suspected one has no server.

TestRequestThatWaitsForAConnectionIsAccused fails before (2 crashes).

--- a/internal/accuser/accuser.go
+++ b/internal/accuser/accuser.go
@@ -4,6 +4,7 @@
 package accuser
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -47,8 +48,9 @@
 	// IsRepeat is set if the request was sent after an equal one was known to have ended a server.
 	IsRepeat bool
 	// IsAnswered is set once another server of the service has answered the request, so that it ends
-	// none of them.
-	IsAnswered *atomic.Bool
+	// none of them, and IsAnsweredElsewhere once a server of any service has.
+	IsAnswered          *atomic.Bool
+	IsAnsweredElsewhere *atomic.Bool
 
 	// Guarded by the Accuser's mutex. SentAt is when it was sent, and LeftAt when this dock stopped to
 	// wait for the answer, or zero before.
@@ -82,7 +84,8 @@
 // New returns an Accuser without runs.
 func New() *Accuser { return &Accuser{runs: map[Start][]*Run{}} }
 
-// Begin records that a request is being sent to a server.
+// Begin records that a request is being written to a server. One that waits for a connection cannot have
+// ended the server.
 func (a *Accuser) Begin(now time.Time, r Run) *Run {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -91,8 +94,8 @@
 	return &r
 }
 
-// NotSent records that a request was not sent.
-func (a *Accuser) NotSent(r *Run) {
+// NotRun records that a request cannot have run on the server.
+func (a *Accuser) NotRun(r *Run) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.remove(r)
@@ -155,7 +158,10 @@
 	perRequest := map[string]int{}
 	isListed := map[Start]bool{}
 	list := []Run{}
-	for _, r := range a.left {
+	// All docks check servers of the same services, so that their findings add up.
+	byService := slices.Clone(a.left)
+	slices.SortStableFunc(byService, func(x, y *Run) int { return cmp.Compare(x.Service, y.Service) })
+	for _, r := range byService {
 		if r.isOver || now.Sub(r.LeftAt) < checkDelay || perRequest[r.Request] >= checksPerRequest {
 			continue
 		}
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -165,6 +165,9 @@
 	// IsRepeat is set if the request was sent to the server after the dock knew of an earlier crash
 	// with the fingerprint.
 	IsRepeat bool `msgpack:"p,omitempty"`
+	// IsPartial is set if a server of another service has answered an equal request at the dock since it
+	// was sent.
+	IsPartial bool `msgpack:"l,omitempty"`
 	// SentAgo and EndedAgo are the times, as of sending, since the request was sent to the server, and
 	// since the server had ended at the latest. They are zero from a dock of an older release.
 	SentAgo  time.Duration `msgpack:"s,omitempty"`
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -96,7 +96,8 @@
 	start := f.clock.Now()
 	flight := f.selector.Begin(start, a.target.ID, a.typicalLatency)
 	f.detachment.sent(start, a.target.ID)
-	run := f.accuser.Begin(start, a.accusable())
+	var run *accuser.Run
+	destination.OnWrite = func() { run = f.accuser.Begin(f.clock.Now(), a.accusable()) }
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
 	now := f.clock.Now()
 	r := attemptResult{attempt: a, elapsed: now.Sub(start), err: err}
@@ -124,25 +125,25 @@
 	return accuser.Run{
 		Start:   accuser.Start{Server: a.target.ID, Born: a.target.Born},
 		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
-		IsAnswered: &a.job.wasAnswered,
+		IsAnswered: &a.job.wasAnswered, IsAnsweredElsewhere: &q.wasAnswered,
 	}
 }
 
-// settle records whether the server has answered. It reports whether the result is a sign that the
-// server has ended and left requests without an answer.
+// settle records whether the server has answered. Run is nil if the request was not sent. It reports
+// whether the result is a sign that the server has ended and left requests without an answer.
 func (a *attempt) settle(now time.Time, run *accuser.Run, r attemptResult) bool {
 	f := a.job.query.forwarder
+	start := accuser.Start{Server: a.target.ID, Born: a.target.Born}
 	switch {
+	case run == nil:
+		return r.outcome == AttemptNotSent && f.accuser.HasRuns(start)
 	case r.reply != nil && r.reply.Metadata.IsWrongServer:
-		f.accuser.NotSent(run)
-		f.serverEnded(accuser.End{Start: run.Start, Latest: now}, evidenceReplaced)
+		f.accuser.NotRun(run)
+		f.serverEnded(accuser.End{Start: start, Latest: now}, evidenceReplaced)
 		return false
 	case r.reply != nil:
 		f.accuser.Answered(now, run)
 		return false
-	case errors.Is(r.err, sender.ErrNotSent):
-		f.accuser.NotSent(run)
-		return r.outcome == AttemptNotSent && f.accuser.HasRuns(run.Start)
 	default:
 		return f.accuser.Left(now, run) && r.outcome == AttemptLost
 	}
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -59,7 +59,10 @@
 	}
 	for _, one := range r.Fingerprints {
 		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), locator.Crash{
-			Crash:  encoder.Crash{Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service, IsRepeat: r.IsRepeat},
+			Crash: encoder.Crash{
+				Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service,
+				IsRepeat: r.IsRepeat, IsPartial: r.IsAnsweredElsewhere.Load(),
+			},
 			SentAt: r.SentAt, EndedAt: endedAt,
 		})
 		if isQuarantined {
@@ -74,6 +77,7 @@
 
 // recordAnswer records that a server of the job's service has answered the request.
 func (j *job) recordAnswer() {
+	j.query.wasAnswered.Store(true)
 	if j.wasAnswered.CompareAndSwap(false, true) {
 		j.query.forwarder.crashTracker.recordAnswer(j.query.fingerprints.list(), j.service)
 	}
--- a/internal/forwarder/crashtracker.go
+++ b/internal/forwarder/crashtracker.go
@@ -81,7 +81,8 @@
 	defer c.mutex.Unlock()
 	for _, one := range f.list() {
 		listed := c.isolated[one]
-		switch own := c.suspects[one].crashes; {
+		own := slices.DeleteFunc(slices.Clone(c.suspects[one].crashes), func(crash locator.Crash) bool { return crash.IsPartial })
+		switch {
 		case now.Before(listed.until):
 			return suspicion{isSuspect: true, isTrial: true, service: listed.service}
 		case len(own) > 0:
@@ -127,9 +128,9 @@
 		c.withdraw(c.leastSuspect())
 	}
 	c.version++
-	s = suspect{crashes: locator.AppendCrash(s.crashes, crash), lastCrash: now}
-	c.suspects[f] = s
-	if locator.Assess(s.crashes) != locator.SuspicionQuarantined {
+	assessment := locator.Assess(append(slices.Clone(s.crashes), crash))
+	c.suspects[f] = suspect{crashes: locator.AppendCrash(s.crashes, crash), lastCrash: now}
+	if assessment != locator.SuspicionQuarantined {
 		return false
 	}
 	c.quarantine(f, now.Add(locator.QuarantineTime))
@@ -164,12 +165,14 @@
 	c.withdraw(f)
 }
 
-// recordAnswer records that a server of a service answered a request, so that the request did not cause
-// the crashes of that service's servers. It may crash those of others nevertheless.
+// recordAnswer records that a server of a service answered a request, so that the request does not crash
+// each server that runs it. It did not cause the crashes of that service's servers, and those of others
+// only if it crashes servers of these alone.
 func (c *crashTracker) recordAnswer(list []identifier.Fingerprint, service identifier.ServiceName) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, one := range list {
+		delete(c.isolated, one)
 		c.withdrawService(one, service)
 	}
 }
@@ -184,18 +187,26 @@
 	}
 }
 
-// withdrawService forgets the crashes of a service's servers. The caller holds the lock.
+// withdrawService forgets the crashes of a service's servers, and marks the others as partial. The caller
+// holds the lock.
 func (c *crashTracker) withdrawService(f identifier.Fingerprint, service identifier.ServiceName) {
 	s, isSuspect := c.suspects[f]
 	if !isSuspect {
 		return
 	}
-	rest := slices.DeleteFunc(slices.Clone(s.crashes), func(crash locator.Crash) bool { return crash.Service == service })
-	switch len(rest) {
-	case len(s.crashes):
-	case 0:
+	rest := []locator.Crash{}
+	hasChanged := false
+	for _, crash := range s.crashes {
+		hasChanged = hasChanged || crash.Service == service || !crash.IsPartial
+		crash.IsPartial = true
+		if crash.Service != service {
+			rest = append(rest, crash)
+		}
+	}
+	switch {
+	case len(rest) == 0:
 		c.withdraw(f)
-	default:
+	case hasChanged:
 		s.crashes = rest
 		c.suspects[f] = s
 		c.version++
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/selector"
+	"banyandock.example/banyandock/internal/sender"
 )
 
 // crashesServerLater lets a request run for a while before it closes its server, also if the request
@@ -143,3 +145,28 @@
 	n, _ = d.servers["a"].count()
 	assert.Assert(t, n > 2*callers, "%d", n)
 }
+
+// TestRequestThatWaitsForAConnectionIsAccused guards against requests that are held responsible for the
+// end of a server before any byte of them was sent.
+func TestRequestThatWaitsForAConnectionIsAccused(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	dialing := make(chan struct{})
+	s := newTestSender(sender.WithDial(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		close(dialing)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}))
+	d.forwarder = d.newForwarderWith(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1}, s)
+	t.Cleanup(func() {
+		d.forwarder.Close()
+		s.Close()
+	})
+	d.addServer("plates", "a", answers("ok"))
+	d.setRoute(matcher.Route{Idempotent: true, Attempts: 1, Destination: toPlates})
+	var requests sync.WaitGroup
+	requests.Go(func() { d.send(context.Background(), "GET", "", 200*time.Millisecond) })
+	<-dialing
+	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	requests.Wait()
+	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
+}
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -15,6 +15,10 @@
 // one serves requests that merely ran beside others, if the first one is down.
 const trialServers = 2
 
+// maxTrials is the number of services that a request may be sent to first, if it reaches no server of the
+// ones before.
+const maxTrials = 3
+
 // isolatedRetryAfter is the time after which a caller may retry a request that was not sent because the
 // servers on which it may be tried are down.
 const isolatedRetryAfter = time.Second
@@ -36,6 +40,8 @@
 	waiting  int
 	// retryWaitsUntil is the time until which the first retry waits for an answer to another attempt.
 	retryWaitsUntil time.Time
+	// trials counts the services that the request was sent to first.
+	trials int
 	// held are the services that the request is not sent to before it is answered by another one.
 	held []identifier.ServiceName
 }
@@ -95,12 +101,29 @@
 	if !known.isSuspect || len(services) < 2 {
 		return q.start(q.delegate(services))
 	}
-	first := slices.Index(services, known.service)
-	if first < 0 {
-		first = int(uint64(q.fingerprints.whole) % uint64(len(services)))
+	first := known.service
+	if !slices.Contains(services, first) || !f.selector.HasReachable(first, now) {
+		first = q.trialService(now, services)
+	}
+	return q.startTrial(first, services)
+}
+
+// trialService returns a service with a server, selected by the fingerprint, or any if none has one.
+func (q *query) trialService(now time.Time, services []identifier.ServiceName) identifier.ServiceName {
+	f := q.forwarder
+	reachable := slices.DeleteFunc(slices.Clone(services), func(s identifier.ServiceName) bool { return !f.selector.HasReachable(s, now) })
+	if len(reachable) == 0 {
+		reachable = services
 	}
-	q.isolation.held = slices.Delete(slices.Clone(services), first, first+1)
-	return q.start(services[first : first+1])
+	return reachable[uint64(q.fingerprints.whole)%uint64(len(reachable))]
+}
+
+// startTrial sends the request to one service and holds the others. It returns the outcome, or nil if the
+// query goes on.
+func (q *query) startTrial(first identifier.ServiceName, services []identifier.ServiceName) Outcome {
+	q.isolation.trials++
+	q.isolation.held = slices.DeleteFunc(slices.Clone(services), func(s identifier.ServiceName) bool { return s == first })
+	return q.start([]identifier.ServiceName{first})
 }
 
 // continueIsolated sends the request to the services that were held, and lets jobs retry that waited,
@@ -115,6 +138,9 @@
 			return o
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
+		if q.countRuns() == 0 && i.trials < maxTrials {
+			return q.startTrial(q.trialService(now, held), held)
+		}
 		i.held = nil
 		if q.table != nil && q.countRuns() == 0 {
 			return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"banyandock.example/banyandock/internal/encoder"
@@ -60,8 +61,10 @@
 	// the limit.
 	isLimitedToOneRun bool
 	repeatPermit      chan struct{}
-	// isolation limits the servers that run a request that may crash them.
-	isolation isolation
+	// isolation limits the servers that run a request that may crash them. wasAnswered is set once a
+	// server has answered the request. Any goroutine may access it.
+	isolation   isolation
+	wasAnswered atomic.Bool
 	// tokens holds the server of each service for which the query has an unused token of the server's
 	// limit.
 	tokens map[identifier.ServiceName]encoder.ServerID
--- a/internal/locator/crash.go
+++ b/internal/locator/crash.go
@@ -1,6 +1,7 @@
 package locator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,6 +9,9 @@
 	"banyandock.example/banyandock/internal/identifier"
 )
 
+// maxCrashes bounds the crashes of a fingerprint that are kept.
+const maxCrashes = 6
+
 // sequenceMargin is how long after the end of a server an equal request must have been sent to count
 // as a later one. It covers the time that reports of different docks take.
 const sequenceMargin = 500 * time.Millisecond
@@ -52,17 +56,19 @@
 	return sent
 }
 
-// isAfter reports whether the request of a crash was sent after the server of another one, by a
-// different request, had ended.
+// isAfter reports whether the request of a crash was sent after the server of another one had ended.
 func (c Crash) isAfter(other Crash) bool {
-	return c.Request != other.Request && !other.EndedAt.IsZero() && c.SentAt.After(other.EndedAt.Add(sequenceMargin))
+	return !other.EndedAt.IsZero() && c.SentAt.After(other.EndedAt.Add(sequenceMargin))
 }
 
-// Assess returns the assessment of the crashes of one fingerprint. A fingerprint is quarantined if
-// its requests crashed crashLimit servers, and one of them after an earlier crash: the dock knew of
-// that, or the request was sent later than the other server ended. Without such a repeat the crashes
-// may have one common cause: when many servers fail at once, each request that runs on several of them
-// is lost at all of these.
+// Assess returns the assessment of the crashes of one fingerprint. A fingerprint is quarantined if its
+// requests crashed crashLimit servers, and one of them after an earlier crash: the dock knew of that, or
+// the request was sent later than the other server ended. Without such a repeat the crashes may have one
+// common cause: when many servers fail at once, each request that runs on several of them is lost at all
+// of these.
+//
+// Partial crashes, of requests that other services answer, count only if crashLimit servers of one service
+// ended in turn: a request that comes often runs on every server that fails.
 func Assess(crashes []Crash) Suspicion {
 	type crash struct {
 		request string
@@ -70,28 +76,46 @@
 	}
 	distinct := map[crash]bool{}
 	hasRepeat := false
-	for _, c := range crashes {
+	whole := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return c.IsPartial })
+	for _, c := range whole {
 		distinct[crash{c.Request, c.Server}] = true
-		hasRepeat = hasRepeat || c.IsRepeat || slices.ContainsFunc(crashes, c.isAfter)
+		hasRepeat = hasRepeat || c.IsRepeat || slices.ContainsFunc(whole, c.isAfter)
 	}
 	switch {
-	case len(distinct) < crashLimit:
-		return SuspicionNone
-	case hasRepeat:
+	case len(distinct) >= crashLimit && hasRepeat, haveServersEndedInTurn(crashes):
 		return SuspicionQuarantined
-	default:
+	case len(distinct) >= crashLimit:
 		return SuspicionIsolated
+	default:
+		return SuspicionNone
 	}
 }
 
-// AppendCrash appends a crash to the crashes of one fingerprint if Assess may need it. It keeps
-// crashLimit crashes, and one more if it is the first repeat.
-func AppendCrash(crashes []Crash, c Crash) []Crash {
-	isRepeat := func(c Crash) bool { return c.IsRepeat || slices.ContainsFunc(crashes, c.isAfter) }
-	if len(crashes) < crashLimit || (isRepeat(c) && !slices.ContainsFunc(crashes, isRepeat)) {
-		return append(crashes, c)
+// haveServersEndedInTurn reports whether crashLimit servers of one service ended, each by a request that
+// was sent after the one before had ended.
+func haveServersEndedInTurn(crashes []Crash) bool {
+	inOrder := slices.SortedStableFunc(slices.Values(crashes), func(a, b Crash) int { return a.SentAt.Compare(b.SentAt) })
+	last := map[identifier.ServiceName]Crash{}
+	turns := map[identifier.ServiceName]int{}
+	for _, c := range inOrder {
+		if turns[c.Service] > 0 && !c.isAfter(last[c.Service]) {
+			continue
+		}
+		last[c.Service] = c
+		turns[c.Service]++
+		if c.Service != "" && turns[c.Service] >= crashLimit {
+			return true
+		}
 	}
-	return crashes
+	return false
+}
+
+// AppendCrash appends a crash to the crashes of one fingerprint. It keeps maxCrashes of them, those of the
+// first services by name, so that all docks keep crashes of the same ones.
+func AppendCrash(crashes []Crash, c Crash) []Crash {
+	all := append(slices.Clone(crashes), c)
+	slices.SortStableFunc(all, func(a, b Crash) int { return cmp.Compare(a.Service, b.Service) })
+	return all[:min(len(all), maxCrashes)]
 }
 
 // SuspectedService returns the service at which requests with a fingerprint are tried first: the first
@@ -99,7 +123,7 @@
 func SuspectedService(crashes []Crash) identifier.ServiceName {
 	first := identifier.ServiceName("")
 	for _, c := range crashes {
-		if c.Service != "" && (first == "" || c.Service < first) {
+		if !c.IsPartial && c.Service != "" && (first == "" || c.Service < first) {
 			first = c.Service
 		}
 	}
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -47,6 +47,9 @@
 // maxForeignReplies replies to other requests. It also reports whether the connection can be
 // reused.
 func (x *exchange) roundTrip() (Reply, bool, error) {
+	if x.to.OnWrite != nil {
+		x.to.OnWrite()
+	}
 	if _, err := x.connection.socket.Write(x.encode()); err != nil {
 		return Reply{}, false, eris.Wrapf(ErrLost, "write: %v", err)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -160,6 +160,8 @@
 	// Connections is the maximum number of connections of this process to the server. Values
 	// below 1 count as 1.
 	Connections int
+	// OnWrite is called, unless it is nil, before the first byte of a request is written.
+	OnWrite func()
 }
 
 // Sender sends requests and manages the connections to servers. It is safe for concurrent use.
