A suspected request is tried at another shard, or refused at once, if its servers are down

Cause: with no server for the trial, the query waited for its next timer, and failed with a coverage error although nothing had run. TestSuspectedRequestWaitsForServersThatAreDown and TestInnocentRequestIsRefusedWhileOneShardIsDown guard this; in the state before, the first got a failure and the second a refusal in a reading of the code, no run was made.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -417,6 +417,32 @@
 	}
 }
 
+// TestSuspectedRequestWaitsForServersThatAreDown guards against a request that is held until its deadline
+// because no server may run it.
+func TestSuspectedRequestWaitsForServersThatAreDown(t *testing.T) {
+	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
+	for _, s := range d.servers {
+		s.server.Close()
+	}
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: services(crashingShards)[0]}})
+	began := time.Now()
+	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonSuspected)
+	assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+	assert.Equal(t, d.executions(), 0)
+}
+
+// TestInnocentRequestIsRefusedWhileOneShardIsDown guards against a request that is refused because the shard
+// whose servers it is suspected to have crashed has none.
+func TestInnocentRequestIsRefusedWhileOneShardIsDown(t *testing.T) {
+	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
+	first := services(crashingShards)[0]
+	for _, id := range []string{"a", "b"} {
+		d.servers[encoder.ServerID(string(first)+id)].server.Close()
+	}
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: first}})
+	assert.Equal(t, expect[forwarder.Gathered](t, d.get()).Missing, 1)
+}
+
 // fingerprintOf returns the fingerprint of the tests' request.
 func fingerprintOf(t *testing.T) identifier.Fingerprint {
 	t.Helper()
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -79,8 +79,8 @@
 }
 
 // begin sends the request to services. If an equal request may have crashed servers, it sends it first to
-// a single one: that whose servers crashed, or one selected by the fingerprint if this is not known. It sends nothing if the request is quarantined. It returns
-// the outcome, or nil if the query goes on.
+// a single one: that whose servers crashed, or one selected by the fingerprint if this is not known. It
+// sends nothing if the request is quarantined. It returns the outcome, or nil if the query goes on.
 func (q *query) begin(services []identifier.ServiceName) Outcome {
 	f := q.forwarder
 	now := f.clock.Now()
@@ -118,12 +118,28 @@
 	return reachable[uint64(q.fingerprints.whole)%uint64(len(reachable))]
 }
 
-// startTrial sends the request to one service and holds the others. It returns the outcome, or nil if the
-// query goes on.
+// startTrial sends the request to one service and holds the others. If it cannot be sent to any of
+// maxTrials services, it is refused, unless another dock delegated it. It returns the outcome, or nil if
+// the query goes on.
 func (q *query) startTrial(first identifier.ServiceName, services []identifier.ServiceName) Outcome {
-	q.isolation.trials++
-	q.isolation.held = slices.DeleteFunc(slices.Clone(services), func(s identifier.ServiceName) bool { return s == first })
-	return q.start([]identifier.ServiceName{first})
+	i := &q.isolation
+	i.trials++
+	i.held = slices.DeleteFunc(slices.Clone(services), func(s identifier.ServiceName) bool { return s == first })
+	o := q.start([]identifier.ServiceName{first})
+	switch {
+	case q.countRuns() > 0:
+		return o
+	case o == nil && i.trials < maxTrials && len(i.held) > 0:
+		return q.startTrial(q.trialService(q.forwarder.clock.Now(), i.held), i.held)
+	case q.table != nil:
+		return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
+	case o == nil:
+		held := i.held
+		i.held = nil
+		return q.failServices(held, ReasonLost)
+	default:
+		return o
+	}
 }
 
 // continueIsolated sends the request to the services that were held, and lets jobs retry that waited,
@@ -138,14 +154,7 @@
 			return o
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
-		if q.countRuns() == 0 && i.trials < maxTrials {
-			return q.startTrial(q.trialService(now, held), held)
-		}
-		i.held = nil
-		if q.table != nil && q.countRuns() == 0 {
-			return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
-		}
-		return q.failServices(held, ReasonLost)
+		return q.endTrial(now, held)
 	}
 	if i.waiting == 0 {
 		return nil
@@ -163,6 +172,20 @@
 	return nil
 }
 
+// endTrial tries the request at another service if it has reached no server, and ends the services that
+// were held otherwise. It returns the outcome, or nil if the query goes on.
+func (q *query) endTrial(now time.Time, held []identifier.ServiceName) Outcome {
+	i := &q.isolation
+	switch {
+	case q.countRuns() == 0 && i.trials < maxTrials:
+		return q.startTrial(q.trialService(now, held), held)
+	case q.countRuns() == 0 && q.table != nil:
+		return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
+	}
+	i.held = nil
+	return q.failServices(held, ReasonLost)
+}
+
 // countRuns returns the number of attempts that a server may have run.
 func (q *query) countRuns() int {
 	runs := 0
