--- a/internal/forwarder/crashtracker.go
+++ b/internal/forwarder/crashtracker.go
@@ -112,8 +112,8 @@
 }
 
 // recordCrash records that a server crashed while it ran a request, unless the request is
-// quarantined. It reports whether the crashes that this dock knows of
-// suffice to quarantine the request, which it then does.
+// quarantined. It reports whether the crashes that this dock knows of suffice to quarantine the
+// request, which it then does.
 func (c *crashTracker) recordCrash(now time.Time, crash locator.Crash) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
