A bounded list of crashes keeps the first repeat

What a dock reports to keepers could lack the repeat that tells a guilty request from one that ran beside it.

Fix: the first repeat is kept beside the six. The assertion is back; without the fix the test fails (6 crashes kept, 7 expected).

--- a/internal/locator/crash.go
+++ b/internal/locator/crash.go
@@ -9,7 +9,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 )
 
-// maxCrashes bounds the crashes of a fingerprint that are kept.
+// maxCrashes bounds the crashes of a fingerprint that are kept, beside one repeat.
 const maxCrashes = 6
 
 // sequenceMargin is how long after the end of a server an equal request must have been sent to count
@@ -111,11 +111,17 @@
 }
 
 // AppendCrash appends a crash to the crashes of one fingerprint. It keeps maxCrashes of them, those of the
-// first services by name, so that all docks keep crashes of the same ones.
+// first services by name, so that all docks keep crashes of the same ones, and the first repeat if it is
+// none of these.
 func AppendCrash(crashes []Crash, c Crash) []Crash {
 	all := append(slices.Clone(crashes), c)
 	slices.SortStableFunc(all, func(a, b Crash) int { return cmp.Compare(a.Service, b.Service) })
-	return all[:min(len(all), maxCrashes)]
+	isRepeat := func(c Crash) bool { return c.IsRepeat && !c.IsPartial }
+	first := slices.IndexFunc(all, isRepeat)
+	if first < maxCrashes {
+		return all[:min(len(all), maxCrashes)]
+	}
+	return append(all[:maxCrashes], all[first])
 }
 
 // SuspectedService returns the service at which requests with a fingerprint are tried first: the first
--- a/internal/locator/crashtracker_test.go
+++ b/internal/locator/crashtracker_test.go
@@ -192,7 +192,8 @@
 	for _, crash := range crashesOf("a", 50, 20) {
 		crashes = locator.AppendCrash(crashes, locator.Received(now, crash))
 	}
-	assert.Equal(t, len(crashes), 6)
+	assert.Equal(t, len(crashes), 7)
+	assert.Equal(t, locator.Assess(crashes), locator.SuspicionQuarantined)
 }
 
 // TestIsolationIsLostWhenAllProcessesRestart guards against a request that has ended servers and may run
