--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -443,6 +443,22 @@
 	assert.Equal(t, expect[forwarder.Gathered](t, d.get()).Missing, 1)
 }
 
+// TestSuspectedRequestWaitsWhileServersAreSilent guards against a query that waits for its next timer because
+// the keepers miss the heartbeats of the servers on which it would be tried.
+func TestSuspectedRequestWaitsWhileServersAreSilent(t *testing.T) {
+	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
+	for _, servers := range d.services {
+		for i := range servers {
+			servers[i].Silent = true
+		}
+	}
+	d.forwarder.UpdateServers(d.services)
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: services(crashingShards)[0]}})
+	began := time.Now()
+	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonSuspected)
+	assert.Assert(t, time.Since(began) < 100*time.Millisecond, "%s", time.Since(began))
+}
+
 // fingerprintOf returns the fingerprint of the tests' request.
 func fingerprintOf(t *testing.T) identifier.Fingerprint {
 	t.Helper()
