--- a/internal/accuser/accuser.go
+++ b/internal/accuser/accuser.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/locator"
 )
 
 const (
@@ -30,16 +30,10 @@
 	checksPerRequest = 3
 )
 
-// Start identifies one start of a server.
-type Start struct {
-	Server encoder.ServerID
-	Born   int64
-}
-
 // Run is a request that was sent to a server.
 type Run struct {
 	// Set by the caller of Begin.
-	Start
+	locator.Start
 	Service identifier.ServiceName
 	// Request is the caller's identifier of the request. Fingerprints are what it has in common with
 	// equal ones.
@@ -62,19 +56,11 @@
 	isChecked bool
 }
 
-// End is what is known of the end of one start of a server: it ended between two moments. Earliest is
-// zero if it is not known.
-type End struct {
-	Start
-	Earliest time.Time
-	Latest   time.Time
-}
-
 // Accuser holds the runs without an answer. It is safe for concurrent use.
 type Accuser struct {
 	// Guarded by mutex.
 	mutex sync.Mutex
-	runs  map[Start][]*Run
+	runs  map[locator.Start][]*Run
 	// left are the runs that this dock no longer waits for, in the order of LeftAt. Some may be over.
 	left []*Run
 	// dropped counts the runs that were dropped because there were more than maxRuns.
@@ -82,7 +68,7 @@
 }
 
 // New returns an Accuser without runs.
-func New() *Accuser { return &Accuser{runs: map[Start][]*Run{}} }
+func New() *Accuser { return &Accuser{runs: map[locator.Start][]*Run{}} }
 
 // Begin records that a request is being written to a server. One that waits for a connection cannot have
 // ended the server.
@@ -126,7 +112,7 @@
 }
 
 // Ended returns the runs that may have ended a server, which are no longer kept.
-func (a *Accuser) Ended(end End) []Run {
+func (a *Accuser) Ended(end locator.End) []Run {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	accused := []Run{}
@@ -142,7 +128,7 @@
 }
 
 // HasRuns reports whether a start of a server has runs without an answer.
-func (a *Accuser) HasRuns(s Start) bool {
+func (a *Accuser) HasRuns(s locator.Start) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	return len(a.runs[s]) > 0
@@ -156,7 +142,7 @@
 	defer a.mutex.Unlock()
 	a.removeExpired(now)
 	perRequest := map[string]int{}
-	isListed := map[Start]bool{}
+	isListed := map[locator.Start]bool{}
 	list := []Run{}
 	// All docks check servers of the same services, so that their findings add up.
 	byService := slices.Clone(a.left)
@@ -216,7 +202,7 @@
 
 // removeWhere removes the runs of a start of a server for which a function returns true. The caller
 // holds the lock.
-func (a *Accuser) removeWhere(s Start, isRemoved func(*Run) bool) {
+func (a *Accuser) removeWhere(s locator.Start, isRemoved func(*Run) bool) {
 	rest := slices.DeleteFunc(a.runs[s], func(r *Run) bool {
 		r.isOver = r.isOver || isRemoved(r)
 		return r.isOver
--- a/internal/accuser/accuser_test.go
+++ b/internal/accuser/accuser_test.go
@@ -9,6 +9,7 @@
 
 	"banyandock.example/banyandock/internal/accuser"
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/locator"
 )
 
 // epoch is the time at which the tests begin.
@@ -21,12 +22,12 @@
 
 // runOf returns the run of a request at a server.
 func runOf(request, server string) accuser.Run {
-	return accuser.Run{Start: accuser.Start{Server: encoder.ServerID(server), Born: 1}, Request: request}
+	return accuser.Run{Start: locator.Start{Server: encoder.ServerID(server), Born: 1}, Request: request}
 }
 
 // endBetween returns the end of the server s between two times.
-func endBetween(earliest, latest float64) accuser.End {
-	return accuser.End{Start: accuser.Start{Server: "s", Born: 1}, Earliest: at(earliest), Latest: at(latest)}
+func endBetween(earliest, latest float64) locator.End {
+	return locator.End{Start: locator.Start{Server: "s", Born: 1}, Earliest: at(earliest), Latest: at(latest)}
 }
 
 // requests returns the requests of runs.
@@ -58,11 +59,11 @@
 	for request, sent := range map[string]float64{"long before": 0, "before": 4.5, "after": 6} {
 		a.Left(at(sent+0.1), a.Begin(at(sent), runOf(request, "s")))
 	}
-	a.Begin(at(5), accuser.Run{Start: accuser.Start{Server: "s", Born: 2}, Request: "later start"})
+	a.Begin(at(5), accuser.Run{Start: locator.Start{Server: "s", Born: 2}, Request: "later start"})
 	a.NotRun(a.Begin(at(4.5), runOf("not sent", "s")))
 	assert.Equal(t, requests(a.Ended(endBetween(4.9, 5.4))), "before ")
-	assert.Assert(t, a.HasRuns(accuser.Start{Server: "s", Born: 2}))
-	assert.Assert(t, !a.HasRuns(accuser.Start{Server: "s", Born: 1}))
+	assert.Assert(t, a.HasRuns(locator.Start{Server: "s", Born: 2}))
+	assert.Assert(t, !a.HasRuns(locator.Start{Server: "s", Born: 1}))
 }
 
 func TestServerThatAnswersLaterClearsEarlierRequests(t *testing.T) {
@@ -70,7 +71,7 @@
 	a.Left(at(0), a.Begin(at(0), runOf("outlived", "s")))
 	a.Left(at(2.5), a.Begin(at(2.4), runOf("just left", "s")))
 	a.Answered(at(3), a.Begin(at(2.9), runOf("answered", "s")))
-	assert.Equal(t, requests(a.Ended(accuser.End{Start: accuser.Start{Server: "s", Born: 1}, Latest: at(4)})), "just left ")
+	assert.Equal(t, requests(a.Ended(locator.End{Start: locator.Start{Server: "s", Born: 1}, Latest: at(4)})), "just left ")
 }
 
 func TestFewServersOfEachRequestAreChecked(t *testing.T) {
@@ -97,5 +98,5 @@
 	assert.Assert(t, stats.Dropped >= 20_000-4096 && stats.Dropped <= 20_000-4096+512, "%d", stats.Dropped)
 	assert.Equal(t, len(a.TakeChecks(at(20), 100)), 0)
 	assert.Equal(t, a.Stats().Left, 0)
-	assert.Assert(t, !a.HasRuns(accuser.Start{Server: "s0", Born: 1}))
+	assert.Assert(t, !a.HasRuns(locator.Start{Server: "s0", Born: 1}))
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/accuser"
+	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
@@ -123,7 +124,7 @@
 func (a *attempt) accusable() accuser.Run {
 	q := a.job.query
 	return accuser.Run{
-		Start:   accuser.Start{Server: a.target.ID, Born: a.target.Born},
+		Start:   locator.Start{Server: a.target.ID, Born: a.target.Born},
 		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
 		IsAnswered: &a.job.wasAnswered, IsAnsweredElsewhere: &q.wasAnswered,
 	}
@@ -133,13 +134,13 @@
 // whether the result is a sign that the server has ended and left requests without an answer.
 func (a *attempt) settle(now time.Time, run *accuser.Run, r attemptResult) bool {
 	f := a.job.query.forwarder
-	start := accuser.Start{Server: a.target.ID, Born: a.target.Born}
+	start := locator.Start{Server: a.target.ID, Born: a.target.Born}
 	switch {
 	case run == nil:
 		return r.outcome == AttemptNotSent && f.accuser.HasRuns(start)
 	case r.reply != nil && r.reply.Metadata.IsWrongServer:
 		f.accuser.NotRun(run)
-		f.serverEnded(accuser.End{Start: start, Latest: now}, evidenceReplaced)
+		f.serverEnded(locator.End{Start: start, Latest: now}, evidenceReplaced)
 		return false
 	case r.reply != nil:
 		f.accuser.Answered(now, run)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -496,7 +496,7 @@
 		}
 		requests.Wait()
 	}
-	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	d.forwarder.SetEndedServers([]locator.End{{Start: locator.Start{Server: "a", Born: 1}, Latest: time.Now()}})
 	suspects := d.forwarder.CrashStats().Suspects
 	assert.Assert(t, suspects >= 64 && suspects <= 256, "%d", suspects)
 	d.services["plates"] = nil
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -58,7 +58,7 @@
 
 	// Guarded by mutex. checking holds the servers that are being checked.
 	mutex    sync.Mutex
-	checking map[accuser.Start]bool
+	checking map[locator.Start]bool
 }
 
 // loop starts checks until the forwarder is closed.
@@ -102,7 +102,7 @@
 }
 
 // begin reserves the check of a server. It returns false if one runs already.
-func (e *endChecker) begin(s accuser.Start) bool {
+func (e *endChecker) begin(s locator.Start) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.checking[s] {
@@ -113,7 +113,7 @@
 }
 
 // end ends the check of a server.
-func (e *endChecker) end(s accuser.Start) {
+func (e *endChecker) end(s locator.Start) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	delete(e.checking, s)
@@ -137,7 +137,7 @@
 // answered. The server counts as ended if its address refuses connections while other servers can be
 // reached. Otherwise it returns why that is not known.
 func (c *endCheck) check() error {
-	start := accuser.Start{Server: c.target.ID, Born: c.target.Born}
+	start := locator.Start{Server: c.target.ID, Born: c.target.Born}
 	if !c.begin(start) {
 		return errBeingChecked
 	}
@@ -155,20 +155,19 @@
 	case !f.detachment.awaitCorroboration(refusedAt, c.target):
 		return errUncorroborated
 	}
-	f.serverEnded(accuser.End{Start: start, Latest: refusedAt}, evidenceRefused)
+	f.serverEnded(locator.End{Start: start, Latest: refusedAt}, evidenceRefused)
 	return nil
 }
 
 // SetEndedServers passes the starts of servers that ended without leaving, as the keepers know.
 func (f *Forwarder) SetEndedServers(ends []locator.End) {
 	for _, e := range ends {
-		end := accuser.End{Start: accuser.Start{Server: e.Server, Born: e.Born}, Earliest: e.LastHeartbeat, Latest: e.Latest}
-		f.serverEnded(end, evidenceDirectory)
+		f.serverEnded(e, evidenceDirectory)
 	}
 }
 
 // serverEnded holds the end of a server against the requests that it had not answered.
-func (f *Forwarder) serverEnded(end accuser.End, e evidence) {
+func (f *Forwarder) serverEnded(end locator.End, e evidence) {
 	runs := f.accuser.Ended(end)
 	if len(runs) == 0 {
 		return
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -69,7 +69,7 @@
 	sent := time.Now()
 	d.send(context.Background(), "GET", "", 100*time.Millisecond)
 	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
-	end := locator.End{Server: "a", Born: 1, LastHeartbeat: sent.Add(-time.Second), Latest: time.Now()}
+	end := locator.End{Start: locator.Start{Server: "a", Born: 1}, Earliest: sent.Add(-time.Second), Latest: time.Now()}
 	d.forwarder.SetEndedServers([]locator.End{end})
 	d.forwarder.SetEndedServers([]locator.End{end})
 	assert.Equal(t, len(d.crashes()), 1)
@@ -84,7 +84,7 @@
 	d.send(context.Background(), "GET", "", 30*time.Millisecond)
 	time.Sleep(1100 * time.Millisecond)
 	expect[forwarder.Answer](t, d.sendTo(context.Background(), "GET", "/x/other", "", time.Second))
-	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	d.forwarder.SetEndedServers([]locator.End{{Start: locator.Start{Server: "a", Born: 1}, Latest: time.Now()}})
 	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
 	d.send(context.Background(), "GET", "", 30*time.Millisecond)
 	d.forwarder.UpdateServers(map[identifier.ServiceName][]locator.Server{})
@@ -166,7 +166,7 @@
 	var requests sync.WaitGroup
 	requests.Go(func() { d.send(context.Background(), "GET", "", 200*time.Millisecond) })
 	<-dialing
-	d.forwarder.SetEndedServers([]locator.End{{Server: "a", Born: 1, Latest: time.Now()}})
+	d.forwarder.SetEndedServers([]locator.End{{Start: locator.Start{Server: "a", Born: 1}, Latest: time.Now()}})
 	requests.Wait()
 	assert.Equal(t, d.forwarder.CrashStats().Crashes, 0)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -161,7 +161,7 @@
 	f.tokens = &tokens{forwarder: f}
 	f.detachment = newDetachment(f)
 	f.relays = &relays{inFlight: map[netip.AddrPort]int{}}
-	f.endChecker = &endChecker{forwarder: f, checking: map[accuser.Start]bool{}}
+	f.endChecker = &endChecker{forwarder: f, checking: map[locator.Start]bool{}}
 	f.tasks.Add(2)
 	go f.detachment.loop()
 	go f.endChecker.loop()
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -118,28 +118,36 @@
 	return reachable[uint64(q.fingerprints.whole)%uint64(len(reachable))]
 }
 
-// startTrial sends the request to one service and holds the others. If it cannot be sent to any of
-// maxTrials services, it is refused, unless another dock delegated it. It returns the outcome, or nil if
-// the query goes on.
+// startTrial sends the request to one service and holds the others. It returns the outcome, or nil if the
+// query goes on.
 func (q *query) startTrial(first identifier.ServiceName, services []identifier.ServiceName) Outcome {
 	i := &q.isolation
 	i.trials++
 	i.held = slices.DeleteFunc(slices.Clone(services), func(s identifier.ServiceName) bool { return s == first })
 	o := q.start([]identifier.ServiceName{first})
-	switch {
-	case q.countRuns() > 0:
+	if q.countRuns() > 0 {
 		return o
-	case o == nil && i.trials < maxTrials && len(i.held) > 0:
+	}
+	return q.endTrial(o)
+}
+
+// endTrial continues after a trial without an answer. A request that reached no server is tried at another
+// service, up to maxTrials, and then refused, unless another dock delegated it. Otherwise the services that
+// were held end too. It returns the outcome, which is o if there is one already, or nil if the query goes
+// on.
+func (q *query) endTrial(o Outcome) Outcome {
+	i := &q.isolation
+	switch {
+	case o == nil && q.countRuns() == 0 && i.trials < maxTrials && len(i.held) > 0:
 		return q.startTrial(q.trialService(q.forwarder.clock.Now(), i.held), i.held)
-	case q.table != nil:
+	case q.countRuns() == 0 && q.table != nil:
 		return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
-	case o == nil:
-		held := i.held
-		i.held = nil
-		return q.failServices(held, ReasonLost)
-	default:
+	case o != nil:
 		return o
 	}
+	held := i.held
+	i.held = nil
+	return q.failServices(held, ReasonLost)
 }
 
 // continueIsolated sends the request to the services that were held, and lets jobs retry that waited,
@@ -154,7 +162,7 @@
 			return o
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
-		return q.endTrial(now, held)
+		return q.endTrial(nil)
 	}
 	if i.waiting == 0 {
 		return nil
@@ -172,20 +180,6 @@
 	return nil
 }
 
-// endTrial tries the request at another service if it has reached no server, and ends the services that
-// were held otherwise. It returns the outcome, or nil if the query goes on.
-func (q *query) endTrial(now time.Time, held []identifier.ServiceName) Outcome {
-	i := &q.isolation
-	switch {
-	case q.countRuns() == 0 && i.trials < maxTrials:
-		return q.startTrial(q.trialService(now, held), held)
-	case q.countRuns() == 0 && q.table != nil:
-		return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
-	}
-	i.held = nil
-	return q.failServices(held, ReasonLost)
-}
-
 // countRuns returns the number of attempts that a server may have run.
 func (q *query) countRuns() int {
 	runs := 0
--- a/internal/locator/end.go
+++ b/internal/locator/end.go
@@ -12,16 +12,22 @@
 // endTime is how long after its last heartbeat the end of a server is of interest.
 const endTime = 30 * time.Second
 
-// End is what the keepers know of a server that ended without leaving: it sent its last heartbeat at
-// LastHeartbeat, which is zero if that is not known, and has ended before Latest.
+// Start identifies one start of a server.
+type Start struct {
+	Server encoder.ServerID
+	Born   int64
+}
+
+// End is what is known of the end of a server that had not left: it ended between two moments. Earliest is
+// zero if it is not known.
 type End struct {
-	Server        encoder.ServerID
-	Born          int64
-	LastHeartbeat time.Time
-	Latest        time.Time
+	Start
+	Earliest time.Time
+	Latest   time.Time
 }
 
-// Ended returns the starts of servers that ended without leaving, as all keepers that report them say,
+// Ended returns the starts of servers that ended without leaving, as all keepers that report
+// them say,
 // ordered by server. Earlier ones than endTime ago are left out.
 func (c *Catalog) Ended(now time.Time) []End {
 	ends := map[encoder.ServerID]End{}
@@ -32,9 +38,9 @@
 				alive[id] = max(alive[id], h.registration.Born)
 				continue
 			}
-			e := End{Server: id, Born: h.registration.Born, LastHeartbeat: h.silentSince, Latest: h.silentSince.Add(h.registration.EndWindow)}
+			e := End{Start: Start{Server: id, Born: h.registration.Born}, Earliest: h.silentSince, Latest: h.silentSince.Add(h.registration.EndWindow)}
 			known, ok := ends[id]
-			if !ok || known.Born < e.Born || known.Born == e.Born && known.LastHeartbeat.Before(e.LastHeartbeat) {
+			if !ok || known.Born < e.Born || known.Born == e.Born && known.Earliest.Before(e.Earliest) {
 				ends[id] = e
 			}
 		}
@@ -42,7 +48,7 @@
 	maps.DeleteFunc(c.restarted, func(_ encoder.ServerID, e End) bool { return now.Sub(e.Latest) > endTime })
 	list := slices.Collect(maps.Values(c.restarted))
 	for id, e := range ends {
-		if born, ok := alive[id]; (!ok || born != e.Born) && now.Sub(e.LastHeartbeat) < endTime {
+		if born, ok := alive[id]; (!ok || born != e.Born) && now.Sub(e.Earliest) < endTime {
 			list = append(list, e)
 		}
 	}
@@ -53,7 +59,7 @@
 // recordRestart records that a server has started again under its ID, if it had not left before.
 func (c *Catalog) recordRestart(now time.Time, before, after encoder.Registration) {
 	if before.Born < after.Born && before.State == encoder.PresenceReady && before.Born != 0 {
-		c.restarted[before.ID] = End{Server: before.ID, Born: before.Born, Latest: now}
+		c.restarted[before.ID] = End{Start: Start{Server: before.ID, Born: before.Born}, Latest: now}
 	}
 }
 
--- a/internal/locator/end_test.go
+++ b/internal/locator/end_test.go
@@ -47,7 +47,7 @@
 	assert.Equal(t, len(e.catalog.Ended(start.Add(2*time.Second))), 0)
 	now := start.Add(silence + time.Second)
 	e.sweep(now)
-	want := []locator.End{{Server: "a", Born: 1, LastHeartbeat: start, Latest: start.Add(silence / 3)}}
+	want := []locator.End{{Start: locator.Start{Server: "a", Born: 1}, Earliest: start, Latest: start.Add(silence / 3)}}
 	assert.DeepEqual(t, e.catalog.Ended(now), want)
 	e.beat(now, "a", 1)
 	assert.Equal(t, len(e.catalog.Ended(now)), 0, "its heartbeats have returned")
@@ -59,7 +59,7 @@
 	e.beat(start, "a", 1)
 	now := start.Add(500 * time.Millisecond)
 	e.beat(now, "b", 2)
-	assert.DeepEqual(t, e.catalog.Ended(now), []locator.End{{Server: "a", Born: 1, LastHeartbeat: start, Latest: now}})
+	assert.DeepEqual(t, e.catalog.Ended(now), []locator.End{{Start: locator.Start{Server: "a", Born: 1}, Earliest: start, Latest: now}})
 }
 
 func TestRestartUnderTheSameIDIsAnEnd(t *testing.T) {
@@ -68,7 +68,7 @@
 	e.beat(start, "a", 1)
 	now := start.Add(time.Second)
 	e.beat(now, "a", 2)
-	assert.DeepEqual(t, e.catalog.Ended(now), []locator.End{{Server: "a", Born: 1, Latest: now}})
+	assert.DeepEqual(t, e.catalog.Ended(now), []locator.End{{Start: locator.Start{Server: "a", Born: 1}, Latest: now}})
 	assert.Equal(t, len(e.catalog.Ended(now.Add(time.Minute))), 0)
 }
 
