A keeper that replaces another is not ready before the change of voters is complete

What an operator saw: a keeper with an erased disk was ready, a second one was stopped, and no keeper led until that was back: 'it is not known whether the manifest was accepted; submit it again'.

Cause: /readyz asked only whether the keeper counts toward a majority. It does so from the first half of the change on, in which decisions need a majority of the former voters too: its own lost start and the second one.

OPERATIONS promised readiness after that line.

Fix: a keeper is not ready while former voters are needed.

--- a/internal/keeperrunner/keeperrunner.go
+++ b/internal/keeperrunner/keeperrunner.go
@@ -28,6 +28,8 @@
 	errNoLeader = eris.New("no leader is known")
 	// errNoVote is the readiness error of a learner, which still catches up with the leader.
 	errNoVote = eris.New("this keeper does not hold everything yet and has no vote")
+	// errVotersChange is the readiness error of a voter while the voters before it are needed too.
+	errVotersChange = eris.New("a change of the voters is not complete")
 )
 
 // Keeper is a running keeper.
@@ -126,12 +128,21 @@
 	return nil
 }
 
-// checkVote returns an error unless this keeper counts toward a majority.
-func (k *Keeper) checkVote() error {
-	if !k.replicator.Status().IsVoter {
+// checkVote returns an error unless this keeper counts toward a majority, and that of former voters is no
+// longer needed.
+func (k *Keeper) checkVote() error { return checkVoters(k.replicator.Status()) }
+
+// checkVoters is checkVote for a status of the replicator. While the voters change, the loss of a further
+// host can leave the group without a majority.
+func checkVoters(s replicator.Status) error {
+	switch {
+	case !s.IsVoter:
 		return errNoVote
+	case len(s.Outgoing) > 0:
+		return errVotersChange
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Close stops the components in the reverse order of their dependencies and waits for them.
