A reset of a new connection is not answered by another, and an ended one is no loss

A kept connection that had ended before the request was written counted as a lost answer, so that callers got 502 for requests that reached no server.

Cause: the pool knew no difference between a server that resets what it cannot accept and one that has failed, and Send took every failed write for one that may have reached the server.

Change: after a new connection was reset the pool opens no other one for 250 ms, doubled up to 4 s, until a reply was read on a new one. Requests wait for the connections that are open; without any the request is certainly not sent (ErrNotSent with ErrOverCap). A write of which no byte was taken is not sent; if the connection was a kept one, Send uses the next. Trim closes idle connections above a lower limit, for owners that have lost a service.

--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,13 +51,17 @@
 	if x.to.OnWrite != nil {
 		x.to.OnWrite()
 	}
-	if _, err := x.connection.socket.Write(x.encode()); err != nil {
-		return Reply{}, false, eris.Wrapf(ErrLost, "write: %v", err)
+	if n, err := x.connection.socket.Write(x.encode()); err != nil {
+		if n == 0 {
+			// The connection had ended before, so no byte of the request was sent.
+			return Reply{}, false, fmt.Errorf("%w: write: %w", ErrNotSent, err)
+		}
+		return Reply{}, false, fmt.Errorf("%w: write: %w", ErrLost, err)
 	}
 	for range 1 + maxForeignReplies {
 		reply, staysOpen, err := x.read()
 		if err != nil {
-			return Reply{}, false, eris.Wrapf(ErrLost, "read: %v", err)
+			return Reply{}, false, fmt.Errorf("%w: read: %w", ErrLost, err)
 		}
 		if reply.Metadata.Request == x.request.ID {
 			// Buffered bytes after the reply belong to no request, so the connection is closed.
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -16,6 +18,14 @@
 	"banyandock.example/banyandock/internal/encoder"
 )
 
+const (
+	// initialPause is how long no further connection is opened after a server has reset a new one. It
+	// doubles with each reset up to maxPause, which maxPauseShift doublings exceed.
+	initialPause  = 250 * time.Millisecond
+	maxPause      = 4 * time.Second
+	maxPauseShift = 5
+)
+
 var (
 	// errServerLeft reports a closed pool, whose server has left.
 	errServerLeft = eris.New("the server has left")
@@ -29,6 +39,8 @@
 	reader *bufio.Reader
 	// limiter is below the reader.
 	limiter *replyLimiter
+	// isNew is set until a reply was read.
+	isNew bool
 	// usableUntil is the time after which an idle connection must not be reused.
 	usableUntil time.Time
 }
@@ -47,10 +59,15 @@
 	idle     []*connection
 	// freed is closed and replaced when a connection becomes idle or ends.
 	freed chan struct{}
+	// resets counts the new connections that were reset since one was used. No further one is opened
+	// before pausedUntil.
+	resets      int
+	pausedUntil time.Time
 }
 
 // acquire returns an idle connection or opens one. If the limit is reached, it waits for a
-// connection until the context ends and then returns errBusy.
+// connection until the context ends and then returns errBusy. While the server resets new connections, it
+// waits for one of those that are open, and returns ErrOverCap if none is.
 func (p *pool) acquire(ctx context.Context, to Destination) (*connection, error) {
 	for {
 		c, mayOpen, freed, err := p.reserve(to)
@@ -88,11 +105,16 @@
 		_ = c.socket.Close()
 		p.open--
 	}
-	if p.open < max(1, to.Connections) {
+	isPaused := now.Before(p.pausedUntil)
+	switch {
+	case isPaused && p.open == 0:
+		return nil, false, nil, ErrOverCap
+	case !isPaused && p.open < max(1, to.Connections):
 		p.open++
 		return nil, true, nil, nil
+	default:
+		return nil, false, p.freed, nil
 	}
-	return nil, false, p.freed, nil
 }
 
 // dial opens a connection that is already counted as open.
@@ -104,7 +126,32 @@
 	}
 	p.sender.opened.Inc(1)
 	limiter := &replyLimiter{source: socket}
-	return &connection{socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter}, nil
+	return &connection{socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter, isNew: true}, nil
+}
+
+// observe evaluates the error of an exchange, or its success. If a new connection was reset, it adds
+// ErrOverCap to the error and pauses the opening of others, for a time that doubles with each of them. If
+// a reply was read from a new connection, the server accepts connections again.
+func (p *pool) observe(c *connection, err error) error {
+	if !c.isNew {
+		return err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	switch {
+	case err == nil:
+		c.isNew = false
+		p.resets, p.pausedUntil = 0, time.Time{}
+		return nil
+	case errors.Is(err, syscall.ECONNRESET):
+		p.sender.overCap.Inc(1)
+		pause := min(maxPause, initialPause<<min(p.resets, maxPauseShift))
+		p.resets++
+		p.pausedUntil = p.sender.clock.Now().Add(pause)
+		return fmt.Errorf("%w: %w", err, ErrOverCap)
+	default:
+		return err
+	}
 }
 
 // release returns a connection to the pool, or closes it if keep is false or the pool is closed.
@@ -139,6 +186,18 @@
 	})
 }
 
+// trim closes the idle connections that were not used for longest, as long as more than a number of
+// connections are open.
+func (p *pool) trim(connections int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for p.open > connections && len(p.idle) > 0 {
+		_ = p.idle[0].socket.Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 // warm opens connections until the pool has the wanted number, within the server's limit. It
 // returns the number of connections that it opened.
 func (p *pool) warm(ctx context.Context, to Destination, wanted int) (int, error) {
@@ -179,7 +238,7 @@
 func (p *pool) reserveWarm(to Destination, wanted int) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.isClosed || p.open >= min(wanted, max(1, to.Connections)) {
+	if p.isClosed || p.open >= min(wanted, max(1, to.Connections)) || p.sender.clock.Now().Before(p.pausedUntil) {
 		return false
 	}
 	p.server = to.ID
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,6 +41,9 @@
 	// maxHeadBytes is the maximum size in bytes of a reply's status line and headers, together with
 	// those of the informational replies before it.
 	maxHeadBytes = 64 << 10
+	// maxDeadConnections is the number of kept connections that may turn out to have ended before a
+	// request is given up as not sent.
+	maxDeadConnections = 2
 	// maxForeignReplies is the maximum number of replies to other requests that are skipped
 	// while waiting for a reply.
 	maxForeignReplies = 2
@@ -54,6 +58,9 @@
 	ErrNotSent = eris.New("request not sent")
 	// ErrLost reports that the request may have run, but no valid reply was received.
 	ErrLost = eris.New("reply lost")
+	// ErrOverCap reports, besides ErrNotSent or ErrLost, that the server reset a new connection, as it
+	// does with those beyond the number that it accepts. It says nothing of the server's health.
+	ErrOverCap = eris.New("the server resets new connections")
 )
 
 // Protocol defines the headers that are exchanged with servers in addition to the request's own.
@@ -171,6 +178,7 @@
 	protocol       Protocol
 	dial           Dial
 	opened         metrics.Counter
+	overCap        metrics.Counter
 	foreignReplies metrics.Counter
 
 	// Guarded by mutex.
@@ -200,6 +208,7 @@
 		protocol:       protocol,
 		dial:           dialer.DialContext,
 		opened:         metrics.GetOrRegisterCounter("sender.connections_opened", registry),
+		overCap:        metrics.GetOrRegisterCounter("sender.connections_over_cap", registry),
 		foreignReplies: metrics.GetOrRegisterCounter("sender.foreign_replies", registry),
 		pools:          map[netip.AddrPort]*pool{},
 	}
@@ -224,14 +233,21 @@
 	if p == nil {
 		return Reply{}, eris.Wrap(ErrNotSent, "the sender is closed")
 	}
-	c, err := p.acquire(ctx, to)
-	if err != nil {
-		return Reply{}, eris.Wrapf(ErrNotSent, "%v", err)
+	for deadConnections := 0; ; deadConnections++ {
+		c, err := p.acquire(ctx, to)
+		if err != nil {
+			return Reply{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline}
+		reply, keep, err := x.run(ctx)
+		err = p.observe(c, err)
+		p.release(c, keep)
+		// A kept connection that had ended says nothing of the next one.
+		isDead := errors.Is(err, ErrNotSent) && !c.isNew && ctx.Err() == nil
+		if !isDead || deadConnections >= maxDeadConnections {
+			return reply, err
+		}
 	}
-	x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline}
-	reply, keep, err := x.run(ctx)
-	p.release(c, keep)
-	return reply, err
 }
 
 // Warm closes the idle connections to a server that cannot be reused and opens new ones until
@@ -270,6 +286,16 @@
 	}
 }
 
+// Trim closes idle connections to an address as long as more than a number of connections are open.
+func (s *Sender) Trim(address netip.AddrPort, connections int) {
+	s.mutex.Lock()
+	p := s.pools[address]
+	s.mutex.Unlock()
+	if p != nil {
+		p.trim(connections)
+	}
+}
+
 // Close closes the idle connections. Connections in use are closed when their requests end.
 func (s *Sender) Close() {
 	s.mutex.Lock()
