--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -1,13 +1,14 @@
-// Package assigner divides the shards of a scattered request into groups and assigns an owner to
-// each group: the dock that sends the request to the group's servers. A dock that sends to every
-// shard itself spends processor time on each, keeps a connection to each, and observes each too
-// rarely to estimate its performance. The assignment is a pure function of the shards and the
-// docks of one failure domain, so that docks with the same lists compute the same owners.
+// Package assigner divides the shards of a scattered request into groups and assigns senders to each
+// group: the docks that send the request to the group's servers. A dock that sends to every shard
+// itself spends processor time on each, keeps a connection to each, and observes each too rarely to
+// estimate its performance. The assignment is a pure function of the shards and the docks of one
+// failure domain, so that docks with the same lists compute the same senders.
 package assigner
 
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 )
@@ -26,30 +27,55 @@
 // Group is a part of the shards and the docks that send requests to them.
 type Group struct {
 	Services []identifier.ServiceName
-	// Owner sends requests to the group's servers. Second does so while Owner is unavailable.
-	Owner  encoder.Dock
-	Second encoder.Dock
+	// Senders are the docks that may send requests to the group's servers, at most allotter.Senders
+	// of them. The first one is the owner, which does so unless it is unavailable. The second replaces
+	// it, and the third the second.
+	Senders []encoder.Dock
 }
 
 // Assign divides shards among docks. It returns nil if there are too few shards or docks; each
 // dock then sends to all shards itself.
 func Assign(shards []identifier.ServiceName, docks []encoder.Dock) []Group {
-	count := min((len(shards)+shardsPerGroup-1)/shardsPerGroup, len(docks)/2)
+	count := groupCount(shards, docks)
 	if len(shards) < minimumShards || count < minimumGroups {
 		return nil
 	}
-	assigned := map[identifier.HostName]bool{}
+	return divide(shards, docks, count)
+}
+
+// AssignAll divides shards among docks, however few there are. It returns nil without docks. It is for
+// servers that do not accept a connection from every dock.
+func AssignAll(shards []identifier.ServiceName, docks []encoder.Dock) []Group {
+	if len(docks) == 0 {
+		return nil
+	}
+	return divide(shards, docks, max(1, groupCount(shards, docks)))
+}
+
+// groupCount returns into how many groups the shards are divided if each group has an owner and a
+// second dock.
+func groupCount(shards []identifier.ServiceName, docks []encoder.Dock) int {
+	return min((len(shards)+shardsPerGroup-1)/shardsPerGroup, len(docks)/2)
+}
+
+// divide divides shards into groups. The owners of all groups are assigned first, then the docks that
+// replace them.
+func divide(shards []identifier.ServiceName, docks []encoder.Dock, count int) []Group {
 	groups := make([]Group, 0, count)
 	for i := range count {
-		services := shards[i*len(shards)/count : (i+1)*len(shards)/count]
-		owner := highestRanked(services[0], docks, assigned)
-		assigned[owner.Host] = true
-		groups = append(groups, Group{Services: services, Owner: owner})
+		groups = append(groups, Group{Services: shards[i*len(shards)/count : (i+1)*len(shards)/count]})
 	}
-	for i := range groups {
-		second := highestRanked(groups[i].Services[0], docks, assigned)
-		assigned[second.Host] = true
-		groups[i].Second = second
+	assigned := map[identifier.HostName]bool{}
+	for range allotter.Senders {
+		for i := range groups {
+			g := &groups[i]
+			dock := highestRanked(g.Services[0], docks, assigned)
+			if dock.Host == "" {
+				return groups
+			}
+			assigned[dock.Host] = true
+			g.Senders = append(g.Senders, dock)
+		}
 	}
 	return groups
 }
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -54,7 +54,10 @@
 		all, used := []identifier.ServiceName{}, map[identifier.HostName]bool{}
 		for _, g := range groups {
 			all = append(all, g.Services...)
-			for _, d := range []encoder.Dock{g.Owner, g.Second} {
+			if len(g.Senders) < 2 {
+				r.Fatalf("the group has only the senders %v", g.Senders)
+			}
+			for _, d := range g.Senders {
 				if d.Host == "" || used[d.Host] {
 					r.Fatalf("%q is not a dock or has two groups", d.Host)
 				}
@@ -75,7 +78,7 @@
 	for lost := range 34 {
 		after := assigner.Assign(shards(90), slices.Delete(docks(34), lost, lost+1))
 		for i := range before {
-			if before[i].Owner.Host != after[i].Owner.Host {
+			if before[i].Senders[0].Host != after[i].Senders[0].Host {
 				moved++
 			}
 		}
@@ -84,3 +87,28 @@
 	// then changes its owner as well.
 	assert.Assert(t, moved >= 9 && moved <= 18, "%d groups moved", moved)
 }
+
+// TestServersWithFewConnectionsAlwaysHaveSenders divides any number of shards among any number of docks.
+func TestServersWithFewConnectionsAlwaysHaveSenders(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n, m := rapid.IntRange(1, 300).Draw(r, "shards"), rapid.IntRange(1, 130).Draw(r, "docks")
+		count := 0
+		used := map[identifier.HostName]bool{}
+		for _, g := range assigner.AssignAll(shards(n), docks(m)) {
+			count += len(g.Services)
+			if len(g.Senders) == 0 {
+				r.Fatalf("a group of %d shards has no sender", len(g.Services))
+			}
+			for _, d := range g.Senders {
+				if used[d.Host] {
+					r.Fatalf("%q has two groups", d.Host)
+				}
+				used[d.Host] = true
+			}
+		}
+		if count != n {
+			r.Fatalf("%d of %d shards have senders", count, n)
+		}
+	})
+	assert.Assert(t, assigner.AssignAll(shards(3), nil) == nil)
+}
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -126,13 +126,15 @@
 	return reply
 }
 
-// addDocks adds the number of docks and of their failure domains and, on the leader, the docks in
-// the sender's failure domain if it holds another list. The caller holds the lock.
+// addDocks adds the number of docks and of their failure domains and the docks in the sender's failure
+// domain, on the leader if the sender holds another list, on other keepers if it holds none. The caller
+// holds the lock.
 func (b *Broadcaster) addDocks(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
 	reply.Docks, reply.Domains = b.docks.count(now)
 	domainDocks, digest := b.docks.domainDocks(request.Dock.Domain)
 	reply.FellowsDigest = digest
-	if reply.IsLeader && digest != request.FellowsDigest {
+	isWanted := reply.IsLeader && digest != request.FellowsDigest
+	if isWanted || request.FellowsDigest == 0 {
 		reply.Fellows = domainDocks
 	}
 }
--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -37,6 +37,9 @@
 	// Rows is the maximum number of records that the reply needs to contain.
 	Rows     int `msgpack:"k"`
 	Attempts int `msgpack:"a"`
+	// IsReplacement is set if the sender had delegated the request to another dock before, which may
+	// have run it.
+	IsReplacement bool `msgpack:"e,omitempty"`
 	// Remaining is the time until the caller's deadline. Target is the time within which the
 	// parts are needed to meet the latency target. A Target of zero means that there is none.
 	Remaining time.Duration `msgpack:"d"`
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -85,9 +85,10 @@
 	q := a.job.query
 	f := q.forwarder
 	destination := sender.Destination{
-		Address:     a.target.Address,
-		ID:          a.target.ID,
-		Connections: f.selector.Connections(a.job.service),
+		Address: a.target.Address,
+		ID:      a.target.ID,
+		// Another dock may have delegated the request before the ownership changed.
+		Connections: max(1, f.selector.Connections(a.job.service)),
 	}
 	if a.needsToken && !f.tokens.acquireOne(q.ctx, a.target.ID) {
 		f.reporter.countAttempt(a.job.service, AttemptDenied)
@@ -98,7 +99,11 @@
 	flight := f.selector.Begin(start, a.target.ID, a.typicalLatency)
 	f.detachment.sent(start, a.target.ID)
 	var run *accuser.Run
-	destination.OnWrite = func() { run = f.accuser.Begin(f.clock.Now(), a.accusable()) }
+	destination.OnWrite = func() {
+		if run == nil {
+			run = f.accuser.Begin(f.clock.Now(), a.accusable())
+		}
+	}
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
 	now := f.clock.Now()
 	r := attemptResult{attempt: a, elapsed: now.Sub(start), err: err}
@@ -115,7 +120,9 @@
 	f.onObserved()
 	mustCheck := a.settle(now, run, r)
 	a.deliver(r)
-	if mustCheck {
+	// A check would open another connection to a server that has just reset one. If the server has
+	// ended, the check of all unanswered requests finds out.
+	if mustCheck && !errors.Is(err, sender.ErrOverCap) {
 		a.checkEnd(r)
 	}
 }
@@ -138,6 +145,9 @@
 	switch {
 	case run == nil:
 		return r.outcome == AttemptNotSent && f.accuser.HasRuns(start)
+	case r.outcome == AttemptNotSent:
+		f.accuser.NotRun(run)
+		return f.accuser.HasRuns(start)
 	case r.reply != nil && r.reply.Metadata.IsWrongServer:
 		f.accuser.NotRun(run)
 		f.serverEnded(locator.End{Start: start, Latest: now}, evidenceReplaced)
@@ -207,17 +217,26 @@
 	case AttemptFailed, AttemptNotRun:
 		f.detachment.monitor.Answered(now)
 		f.selector.Answered(now, flight, true, reportedLoad(r.reply.Metadata))
-	case AttemptNotSent:
-		f.detachment.connectionFailed(now, a.target.ID)
-		f.selector.Lost(now, flight, true)
-	case AttemptLost:
-		f.detachment.connectionFailed(now, a.target.ID)
-		f.selector.Lost(now, flight, false)
+	case AttemptNotSent, AttemptLost:
+		a.updateUnanswered(now, flight, r)
 	case AttemptRunning, AttemptDenied, AttemptCancelled:
 		f.selector.Cancelled(now, flight)
 	}
 }
 
+// updateUnanswered passes an attempt to the selector that was not sent or lost its answer. A server that
+// resets new connections has accepted as many as it can, which says nothing of its health or of the links
+// of this dock.
+func (a *attempt) updateUnanswered(now time.Time, flight *selector.InFlightRequest, r attemptResult) {
+	f := a.job.query.forwarder
+	if errors.Is(r.err, sender.ErrOverCap) {
+		f.selector.OverCap(now, flight, r.outcome == AttemptNotSent)
+		return
+	}
+	f.detachment.connectionFailed(now, a.target.ID)
+	f.selector.Lost(now, flight, r.outcome == AttemptNotSent)
+}
+
 // observeLimit passes what a server's reply says of the requests that the server takes to the
 // selector. The reply of another server than the chosen one says nothing of that one.
 func (f *Forwarder) observeLimit(now time.Time, flight *selector.InFlightRequest, reply sender.ReplyMetadata) {
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -146,6 +146,7 @@
 		prepared:            &sender.PreparedRequest{ID: r.Request, Method: r.Method, Head: r.Head, Body: r.Body},
 		deadline:            now.Add(r.Remaining),
 		finished:            make(chan struct{}),
+		isReplacement:       r.IsReplacement,
 		isLimitedToOneRun:   true,
 		repeatPermit:        make(chan struct{}, 1),
 		detach:              func() bool { return true },
--- a/internal/forwarder/connections.go
+++ b/internal/forwarder/connections.go
@@ -20,7 +20,7 @@
 	}
 	byRank := [warmServers][]sender.Destination{}
 	for _, s := range table.Services() {
-		if f.selector.IsOwnedElsewhere(s.Name) {
+		if !f.selector.KeepsConnections(s.Name) {
 			continue
 		}
 		connections := f.selector.Connections(s.Name)
@@ -43,3 +43,11 @@
 		_ = f.owners.peers.Connect(ctx, address)
 	}
 }
+
+// trimConnections closes the idle connections to servers of which this dock may hold fewer than before,
+// so that the docks that may hold them now can open theirs.
+func (f *Forwarder) trimConnections() {
+	for _, a := range f.selector.Addresses() {
+		f.sender.Trim(a.Address, f.selector.Connections(a.Service))
+	}
+}
--- a/internal/forwarder/connections_test.go
+++ b/internal/forwarder/connections_test.go
@@ -46,7 +46,9 @@
 }
 
 // domainName returns the name of a failure domain.
-func domainName(i int) identifier.DomainName { return identifier.DomainName(fmt.Sprintf("domain-%d", i)) }
+func domainName(i int) identifier.DomainName {
+	return identifier.DomainName(fmt.Sprintf("domain-%d", i))
+}
 
 // domainDocks returns the docks of a failure domain.
 func (f *fleet) domainDocks(domain identifier.DomainName) []encoder.Dock {
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -26,19 +26,28 @@
 	// silenceExtension is how much longer the query waits for a silent owner that cannot be
 	// replaced.
 	silenceExtension = 50 * time.Millisecond
+	// replacementSilence is the least time until a sender counts as silent that replaces another one,
+	// because little time may be left until the latency target.
+	replacementSilence = 20 * time.Millisecond
 	// defaultSilenceTimeout is the time until an owner counts as silent if there is no latency
 	// target.
 	defaultSilenceTimeout = 100 * time.Millisecond
 )
 
-// delegation is a group of shards whose parts another dock, the owner, gathers. Only the query's
-// goroutine accesses the fields that are not set at creation.
+// delegation is a group of shards whose parts another dock, a sender of the group, gathers. Only the
+// query's goroutine accesses the fields that are not set at creation.
 type delegation struct {
 	// Set at creation. Later, the query's goroutine may extend silenceDeadline and remove
 	// services.
 	query    *query
 	dock     encoder.Dock
 	services []identifier.ServiceName
+	// group is the group that services are part of, and tried are the senders of it that the request
+	// was delegated to, including dock.
+	group assigner.Group
+	tried []identifier.HostName
+	// earlierRuns is the number of the senders tried before that may have run the request.
+	earlierRuns int
 	// tokens holds the servers for which the query had tokens. It is empty or as long as services.
 	tokens []encoder.ServerID
 	// id is the query's number in the messages to the owner.
@@ -68,18 +77,20 @@
 }
 
 // delegate sends the request to the owners of the shards, and returns the shards that this dock
-// must send to itself.
-func (q *query) delegate(services []identifier.ServiceName) []identifier.ServiceName {
+// must send to itself. Shards that no dock may send to now end without a run. It also returns the
+// outcome, or nil if the query goes on.
+func (q *query) delegate(services []identifier.ServiceName) ([]identifier.ServiceName, Outcome) {
 	f := q.forwarder
 	if q.table == nil {
-		return services
+		return services, nil
 	}
 	groups := f.owners.groups(q.route.Name)
 	if groups == nil {
-		return services
+		return q.keepPermitted(services)
 	}
 	now := f.clock.Now()
-	own := []identifier.ServiceName{}
+	own, unsent := []identifier.ServiceName{}, []identifier.ServiceName{}
+	delegations := []*delegation{}
 	isPartial := len(services) < len(q.services())
 	for _, g := range groups {
 		if isPartial {
@@ -88,30 +99,77 @@
 		if len(g.Services) == 0 {
 			continue
 		}
-		dock, isRemote := f.owners.choose(now, g)
-		if isRemote {
-			q.delegations = append(q.delegations, q.newDelegation(now, dock, g))
-		} else {
+		switch dock, kind := f.owners.choose(now, g, nil, q.maySend(g.Services)); kind {
+		case sendDelegated:
+			delegations = append(delegations, q.newDelegation(now, dock, g, nil))
+		case sendSelf:
 			own = append(own, g.Services...)
+		case sendNone:
+			unsent = append(unsent, g.Services...)
 		}
 	}
-	q.replies = make(chan delegationReply, len(q.delegations))
-	for _, d := range q.delegations {
-		f.tasks.Add(1)
-		go d.run()
+	if o := q.failUnsent(unsent); o != nil {
+		return nil, o
+	}
+	for _, d := range delegations {
+		q.startDelegation(d)
 	}
-	return own
+	return own, nil
+}
+
+// startDelegation sends the request to the sender of a group.
+func (q *query) startDelegation(d *delegation) {
+	q.delegations = append(q.delegations, d)
+	q.forwarder.tasks.Add(1)
+	go d.run()
+}
+
+// maySend reports whether this dock may send to all services.
+func (q *query) maySend(services []identifier.ServiceName) bool {
+	return !slices.ContainsFunc(services, func(s identifier.ServiceName) bool { return q.forwarder.selector.Connections(s) == 0 })
 }
 
-// newDelegation returns the delegation of a group to an owner.
-func (q *query) newDelegation(now time.Time, dock encoder.Dock, g assigner.Group) *delegation {
+// keepPermitted returns the services that this dock may send to, and ends the others without a run. It
+// also returns the outcome, or nil if the query goes on.
+func (q *query) keepPermitted(services []identifier.ServiceName) ([]identifier.ServiceName, Outcome) {
+	if q.maySend(services) {
+		return services, nil
+	}
+	permitted, unsent := []identifier.ServiceName{}, []identifier.ServiceName{}
+	for _, s := range services {
+		if q.forwarder.selector.Connections(s) > 0 {
+			permitted = append(permitted, s)
+		} else {
+			unsent = append(unsent, s)
+		}
+	}
+	return permitted, q.failUnsent(unsent)
+}
+
+// failUnsent ends services that no dock may send to now. It returns the outcome, or nil if the query
+// goes on.
+func (q *query) failUnsent(services []identifier.ServiceName) Outcome {
+	for _, s := range services {
+		if o := q.collector.addResult(result{service: s, reason: ReasonNoSender}); o != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+// newDelegation returns the delegation of a group to a sender. Tried holds the senders that it replaces.
+func (q *query) newDelegation(now time.Time, dock encoder.Dock, g assigner.Group, tried []identifier.HostName) *delegation {
 	d := &delegation{
 		query: q, dock: dock, services: g.Services, id: q.forwarder.owners.nextID(),
+		group: g, tried: append(slices.Clone(tried), dock.Host),
 		silenceDeadline: now.Add(defaultSilenceTimeout), more: make(chan struct{}, 1), pending: map[int]bool{},
 	}
 	if !q.target.IsZero() {
 		d.silenceDeadline = now.Add(q.target.Sub(now)/silenceDivisor + silenceSlack)
 	}
+	if len(tried) > 0 {
+		d.silenceDeadline = later(d.silenceDeadline, now.Add(replacementSilence))
+	}
 	for i := range g.Services {
 		d.pending[i] = true
 	}
@@ -137,7 +195,8 @@
 		Services:      d.services,
 		Tokens:        d.tokens,
 		Rows:          q.rowLimit(),
-		Attempts:      q.attempts(),
+		Attempts:      d.attempts(),
+		IsReplacement: d.earlierRuns > 0,
 		Remaining:     q.deadline.Sub(now),
 		Priority:      q.route.Priority,
 	}
@@ -147,6 +206,16 @@
 	return request
 }
 
+// attempts returns the number of servers of each service that may run the request for this delegation.
+// Each sender that was replaced may have used one of them.
+func (d *delegation) attempts() int {
+	attempts := d.query.attempts()
+	if attempts <= 0 {
+		attempts = defaultAttempts
+	}
+	return attempts - d.earlierRuns
+}
+
 // run requests parts from the owner until it has returned all of them, a call fails or the query
 // has finished.
 func (d *delegation) run() {
@@ -225,6 +294,11 @@
 	}
 }
 
+// isRefusal reports whether a call to a sender failed before the sender accepted the request.
+func isRefusal(err error) bool {
+	return errors.Is(err, linker.ErrNotSent) || errors.Is(err, linker.ErrRemote)
+}
+
 // endDelegation ends a delegation and counts its pending shards as lost. It returns the outcome, or
 // nil if the query goes on.
 func (q *query) endDelegation(d *delegation) Outcome {
@@ -252,18 +326,18 @@
 		// The owner may already have used up the runs that the route allows.
 		d.ownerFailure = ownerFailureLost
 		return q.endDelegation(d)
-	case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
+	case isRefusal(err):
 		// The owner did not accept the request, so nothing has run.
 		d.isOver, d.ownerFailure = true, ownerFailureRefused
 		q.returnTokens(d.services, d.tokens)
-		return q.start(d.services)
+		return q.redirect(now, d, d.earlierRuns)
 	default:
 		d.ownerFailure = ownerFailureLost
 		return q.replaceLostOwner(now, d)
 	}
 }
 
-// replaceSilentOwners sends the request directly to the servers of owners that have not replied in
+// replaceSilentOwners sends the request in another way to the servers of owners that have not replied in
 // time. Until an owner has replied, it lets the request run at most once per shard.
 func (q *query) replaceSilentOwners(now time.Time) Outcome {
 	if o := q.handleReplies(now); o != nil {
@@ -281,14 +355,14 @@
 			d.silenceDeadline = now.Add(silenceExtension)
 			continue
 		}
-		if o := q.sendDirectly(now, d); o != nil {
+		if o := q.redirect(now, d, d.earlierRuns+1); o != nil {
 			return o
 		}
 	}
 	return nil
 }
 
-// replaceLostOwner sends the request directly to those servers of a group that the repeat budget
+// replaceLostOwner sends the request in another way to those servers of a group that the repeat budget
 // allows. The other shards fail.
 func (q *query) replaceLostOwner(now time.Time, d *delegation) Outcome {
 	affordable := []identifier.ServiceName{}
@@ -300,17 +374,60 @@
 		}
 	}
 	d.services = affordable
-	return q.sendDirectly(now, d)
+	return q.redirect(now, d, d.earlierRuns+1)
 }
 
-// sendDirectly sends the request to a server of each shard of a group. It reserves one of the
-// route's runs for the owner, which may have used it. The caller has charged the repeat budget.
-func (q *query) sendDirectly(now time.Time, d *delegation) Outcome {
+// redirect ends a delegation and sends the request to its services in another way: directly if this dock
+// may, or through the next sender. Runs is the number of the route's runs that senders may have used; if
+// there are any, the caller has charged the repeat budget. It returns the outcome, or nil if the query
+// goes on.
+func (q *query) redirect(now time.Time, d *delegation, runs int) Outcome {
 	d.isOver = true
+	if len(d.services) == 0 {
+		return nil
+	}
+	if q.maySend(d.services) {
+		return q.sendDirectly(now, d, runs)
+	}
+	g := assigner.Group{Services: d.services, Senders: d.group.Senders}
+	dock, kind := q.forwarder.owners.choose(now, g, d.tried, false)
+	if kind != sendDelegated {
+		return q.failRedirected(now, d, runs)
+	}
+	next := q.newDelegation(now, dock, g, d.tried)
+	next.earlierRuns = runs
+	if next.attempts() <= 0 {
+		return q.failRedirected(now, d, runs)
+	}
+	q.startDelegation(next)
+	return nil
+}
+
+// failRedirected ends services that no other sender can be asked for, and returns what was charged to the
+// repeat budget. It returns the outcome, or nil if the query goes on.
+func (q *query) failRedirected(now time.Time, d *delegation, runs int) Outcome {
+	if runs == 0 {
+		return q.failUnsent(d.services)
+	}
+	for _, s := range d.services {
+		q.forwarder.selector.ReturnRepeat(now, s)
+		if o := q.collector.addResult(result{service: s, reason: ReasonNoSender, hasRun: true}); o != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+// sendDirectly sends the request to a server of each shard of a group. It reserves the runs of the route
+// that senders may have used. The caller has charged the repeat budget if there are any.
+func (q *query) sendDirectly(now time.Time, d *delegation, runs int) Outcome {
+	if runs == 0 {
+		return q.start(d.services)
+	}
 	latency := q.forwarder.latency(q.route.Name)
 	for _, s := range d.services {
 		j := newJob(q, s, latency)
-		j.maxRuns--
+		j.maxRuns -= runs
 		j.isReplacement = true
 		q.jobs = append(q.jobs, j)
 		if j.mayRunMore() && j.startAttempt(now, CauseRetry, true) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -156,7 +156,7 @@
 		batches:          map[batchKey]*batch{},
 		crashTracker:     newCrashTracker(),
 		accuser:          accuser.New(),
-		owners:           &owners{self: settings.Host, peers: settings.Peers, domains: 1, suspectedUntil: map[netip.AddrPort]time.Time{}},
+		owners:           &owners{self: settings.Host, peers: settings.Peers, suspectedUntil: map[netip.AddrPort]time.Time{}},
 	}
 	f.tokens = &tokens{forwarder: f}
 	f.detachment = newDetachment(f)
@@ -201,10 +201,11 @@
 
 // updateOwnership reassigns the shards to the docks.
 func (f *Forwarder) updateOwnership() {
-	ownership := f.owners.assign(f.table.Load())
+	ownership := f.owners.assign(f.table.Load(), f.selector)
 	if f.selector.SetOwnership(ownership) {
-		f.log.Info().Int(recorder.FieldCount, len(ownership.Owned)).
+		f.log.Info().Int(recorder.FieldCount, ownership.CountOwned()).
 			Int(recorder.FieldFellows, f.owners.countDomainDocks()).Msg(recorder.EventOwners)
+		f.trimConnections()
 	}
 	f.onTargetsChanged()
 }
@@ -275,8 +276,7 @@
 // SetDocks sets how many hosts share the repeat budget and the servers' connections, and the
 // number of their failure domains.
 func (f *Forwarder) SetDocks(docks, domains int) {
-	f.selector.SetDocks(docks)
-	if f.owners.setDomains(domains) {
+	if f.selector.SetDocks(docks, domains) {
 		f.updateOwnership()
 	}
 }
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -99,15 +99,26 @@
 	known := f.crashTracker.suspicionOf(now, q.fingerprints)
 	q.isolation.suspicion = known
 	if !known.isSuspect || len(services) < 2 {
-		return q.start(q.delegate(services))
+		return q.send(services)
 	}
 	first := known.service
 	if !slices.Contains(services, first) || !f.selector.HasReachable(first, now) {
 		first = q.trialService(now, services)
 	}
+	if q.canRelay() && !q.maySend([]identifier.ServiceName{first}) {
+		return q.relayTrial(first)
+	}
 	return q.startTrial(first, services)
 }
 
+// relayTrial hands a suspected request over to a dock that may send it to the service to try first.
+func (q *query) relayTrial(first identifier.ServiceName) Outcome {
+	if o := q.relayTo(q.forwarder.owners.sendersOf(first)); o != nil {
+		return o
+	}
+	return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
+}
+
 // trialService returns a service with a server, selected by the fingerprint, or any if none has one.
 func (q *query) trialService(now time.Time, services []identifier.ServiceName) identifier.ServiceName {
 	f := q.forwarder
@@ -158,7 +169,7 @@
 	switch {
 	case len(held) > 0 && i.hasAnswer:
 		i.held = nil
-		if o := q.start(q.delegate(held)); o != nil {
+		if o := q.send(held); o != nil {
 			return o
 		}
 	case len(held) > 0 && i.inFlight == 0 && q.areJobsOver():
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -74,13 +74,15 @@
 	if maxRuns <= 0 {
 		maxRuns = defaultAttempts
 	}
-	return &job{query: q, service: service, latency: latency, maxRuns: maxRuns}
+	return &job{query: q, service: service, latency: latency, maxRuns: maxRuns, isReplacement: q.isReplacement}
 }
 
 // start sends the request to the first server and schedules the hedge. It returns false if there
 // is no server.
 func (j *job) start(now time.Time) bool {
-	j.query.forwarder.selector.CountRequest(now, j.service)
+	if !j.isReplacement {
+		j.query.forwarder.selector.CountRequest(now, j.service)
+	}
 	if !j.startAttempt(now, CauseFirst, false) {
 		j.isOver = true
 		return false
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -40,6 +40,9 @@
 	// ReasonSuspected means that requests with this fingerprint may crash servers, and that the
 	// servers on which they are tried are down.
 	ReasonSuspected
+	// ReasonNoSender means that this dock may not connect to the servers, and no dock that may was
+	// available.
+	ReasonNoSender
 	// ReasonCallerLeft means that the caller no longer waits for the answer.
 	ReasonCallerLeft
 )
--- a/internal/forwarder/owners.go
+++ b/internal/forwarder/owners.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/assigner"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
@@ -33,52 +35,82 @@
 
 	// Guarded by mutex.
 	mutex sync.Mutex
-	// domainDocks are the docks of this dock's failure domain, and domains is the number of
-	// failure domains with docks.
+	// domainDocks are the docks of this dock's failure domain.
 	domainDocks []encoder.Dock
-	domains     int
 	// groupsByRoute holds the groups of each scattered route, or nil if the route is not
 	// delegated.
 	groupsByRoute map[matcher.RouteName][]assigner.Group
+	// groupByService holds the group of each service that only some docks may send to.
+	groupByService map[identifier.ServiceName]assigner.Group
 	// suspectedUntil is when the docks that are skipped may be used again.
 	suspectedUntil map[netip.AddrPort]time.Time
 	lastID         uint64
 }
 
-// assign computes the groups of all routes and returns the services that this dock owns. Without a
+// allotments tells which docks may connect to the servers of a service.
+type allotments interface {
+	// NeedsSenders reports whether the servers do not accept a connection from every dock.
+	NeedsSenders(service identifier.ServiceName) bool
+	// CountSenders returns how many docks of each failure domain may be senders.
+	CountSenders(service identifier.ServiceName) int
+}
+
+// assign computes the groups of all routes and returns the services that this dock sends to. Without a
 // configuration or peers, nothing is delegated.
-func (o *owners) assign(t *matcher.Table) selector.Ownership {
+func (o *owners) assign(t *matcher.Table, a allotments) selector.Ownership {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	ownership := selector.Ownership{
-		Owned:     map[identifier.ServiceName]bool{},
-		Delegated: map[identifier.ServiceName]bool{},
-		Owners:    o.domains,
-	}
+	ownership := selector.Ownership{Ranks: map[identifier.ServiceName]int{}}
 	o.groupsByRoute = map[matcher.RouteName][]assigner.Group{}
+	o.groupByService = map[identifier.ServiceName]assigner.Group{}
 	if t == nil || o.peers == nil {
 		return ownership
 	}
 	for _, r := range t.Routes() {
-		d, ok := r.Destination.(matcher.Scatter)
-		if !ok {
-			continue
+		if d, ok := r.Destination.(matcher.Scatter); ok {
+			o.groupsByRoute[r.Name] = o.assignGroups(d.Services, a)
+			o.addGroups(ownership, o.groupsByRoute[r.Name])
+		}
+	}
+	o.addGroups(ownership, o.assignGroups(unroutedServices(t), a))
+	for _, s := range t.Services() {
+		if _, isGrouped := o.groupByService[s.Name]; !isGrouped && a.NeedsSenders(s.Name) {
+			// Without a list of docks yet, no dock may send to the service.
+			ownership.Ranks[s.Name] = allotter.NoRank
+			o.addGroups(ownership, o.limitSenders(assigner.AssignAll([]identifier.ServiceName{s.Name}, o.domainDocks), a))
 		}
-		groups := assigner.Assign(d.Services, o.domainDocks)
-		o.groupsByRoute[r.Name] = groups
-		o.addGroups(ownership, groups)
 	}
-	o.addGroups(ownership, assigner.Assign(unroutedServices(t), o.domainDocks))
 	return ownership
 }
 
-// addGroups adds the services of groups to an ownership.
+// assignGroups divides services among the docks of this failure domain. It returns nil if every dock
+// sends to them itself. The caller holds the lock.
+func (o *owners) assignGroups(services []identifier.ServiceName, a allotments) []assigner.Group {
+	groups := assigner.Assign(services, o.domainDocks)
+	if groups == nil && slices.ContainsFunc(services, a.NeedsSenders) {
+		groups = assigner.AssignAll(services, o.domainDocks)
+	}
+	return o.limitSenders(groups, a)
+}
+
+// limitSenders removes the senders that may not connect to all servers of their group.
+func (o *owners) limitSenders(groups []assigner.Group, a allotments) []assigner.Group {
+	for i := range groups {
+		for _, s := range groups[i].Services {
+			groups[i].Senders = groups[i].Senders[:min(len(groups[i].Senders), a.CountSenders(s))]
+		}
+	}
+	return groups
+}
+
+// addGroups adds the ranks of this dock in groups to an ownership. The caller holds the lock.
 func (o *owners) addGroups(ownership selector.Ownership, groups []assigner.Group) {
 	for _, g := range groups {
+		rank := slices.IndexFunc(g.Senders, func(d encoder.Dock) bool { return d.Host == o.self })
 		for _, s := range g.Services {
-			ownership.Delegated[s] = true
-			if g.Owner.Host == o.self {
-				ownership.Owned[s] = true
+			if _, isGrouped := o.groupByService[s]; !isGrouped {
+				o.groupByService[s] = g
+				ownership.Ranks[s] = rank
 			}
 		}
 	}
@@ -110,15 +142,6 @@
 	o.domainDocks = domainDocks
 }
 
-// setDomains sets the number of failure domains with docks, and reports whether it has changed.
-func (o *owners) setDomains(domains int) bool {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	isNew := o.domains != domains
-	o.domains = domains
-	return isNew
-}
-
 // countDomainDocks returns the number of docks in this dock's failure domain.
 func (o *owners) countDomainDocks() int {
 	o.mutex.Lock()
@@ -147,20 +170,52 @@
 	return o.groupsByRoute[route]
 }
 
-// choose returns the dock to delegate a group to. It returns false if this dock must send to the
-// group's servers itself.
-func (o *owners) choose(now time.Time, g assigner.Group) (encoder.Dock, bool) {
+// sendersOf returns the docks that may send to a service in place of this one, or nil if the service has
+// no senders.
+func (o *owners) sendersOf(service identifier.ServiceName) []encoder.Dock {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	for _, d := range []encoder.Dock{g.Owner, g.Second} {
-		if d.Host == o.self {
-			return d, false
-		}
-		if !now.Before(o.suspectedUntil[d.Address]) {
-			return d, true
+	return o.groupByService[service].Senders
+}
+
+// sendingKind is how the request is sent to the servers of a group.
+type sendingKind uint8
+
+const (
+	// sendDelegated means that another dock sends it.
+	sendDelegated sendingKind = iota
+	// sendSelf means that this dock sends it.
+	sendSelf
+	// sendNone means that no dock that may send it is left.
+	sendNone
+)
+
+// choose returns how to send a request to a group, and the dock to delegate it to if another one must.
+// Docks that failed lately are used only if this one may not send. Tried holds those that the request
+// was delegated to before.
+func (o *owners) choose(now time.Time, g assigner.Group, tried []identifier.HostName, maySend bool) (encoder.Dock, sendingKind) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	suspect := encoder.Dock{}
+	for _, d := range g.Senders {
+		switch {
+		case d.Host == o.self:
+			return d, sendSelf
+		case slices.Contains(tried, d.Host):
+		case !now.Before(o.suspectedUntil[d.Address]):
+			return d, sendDelegated
+		case suspect.Host == "":
+			suspect = d
 		}
 	}
-	return encoder.Dock{}, false
+	switch {
+	case maySend:
+		return encoder.Dock{}, sendSelf
+	case suspect.Host != "":
+		return suspect, sendDelegated
+	default:
+		return encoder.Dock{}, sendNone
+	}
 }
 
 // markSuspect makes choose skip a dock for suspectTime.
@@ -183,8 +238,8 @@
 	return o.lastID
 }
 
-// ownerAddresses returns the addresses of the other docks that own groups. It leaves out the second
-// docks of the groups.
+// ownerAddresses returns the addresses of the other docks that own groups. It leaves out the docks that
+// replace them.
 func (o *owners) ownerAddresses() []netip.AddrPort {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -192,9 +247,9 @@
 	seen := map[identifier.HostName]bool{o.self: true}
 	for _, groups := range o.groupsByRoute {
 		for _, g := range groups {
-			if !seen[g.Owner.Host] {
-				seen[g.Owner.Host] = true
-				list = append(list, g.Owner.Address)
+			if len(g.Senders) > 0 && !seen[g.Senders[0].Host] {
+				seen[g.Senders[0].Host] = true
+				list = append(list, g.Senders[0].Address)
 			}
 		}
 	}
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -52,12 +52,19 @@
 // cluster is several docks with the same servers. It carries the messages between them.
 type cluster struct {
 	*deployment
-	docks []*forwarder.Forwarder
+	docks       []*forwarder.Forwarder
+	domainDocks []encoder.Dock
 
 	mutex       sync.Mutex
 	fault       fault
 	gatherCalls int
 	moreCalls   int
+	relayCalls  int
+	// refusals is the number of the next requests to docks that are not sent.
+	refusals int
+	// silentDock is the first dock that was called since isFirstSilent was set. It never answers.
+	isFirstSilent bool
+	silentDock    netip.AddrPort
 }
 
 // Gather passes the request to another dock, subject to the current fault.
@@ -65,6 +72,16 @@
 	c.mutex.Lock()
 	c.gatherCalls++
 	f := c.fault
+	if c.refusals > 0 {
+		c.refusals--
+		f = faultRefused
+	}
+	if c.isFirstSilent {
+		c.isFirstSilent, c.silentDock = false, dock
+	}
+	if dock == c.silentDock {
+		f = faultBlackhole
+	}
 	c.mutex.Unlock()
 	owner := c.docks[dock.Port()]
 	switch f {
@@ -106,6 +123,9 @@
 
 // Relay hands a request over to another dock.
 func (c *cluster) Relay(ctx context.Context, dock netip.AddrPort, r encoder.RelayRequest) (encoder.RelayReply, error) {
+	c.mutex.Lock()
+	c.relayCalls++
+	c.mutex.Unlock()
 	return c.docks[dock.Port()].HandleRelayed(ctx, r)
 }
 
@@ -132,6 +152,7 @@
 			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i)),
 		})
 	}
+	c.domainDocks = domainDocks
 	for _, dock := range domainDocks {
 		f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: dock.Host, Peers: c})
 		t.Cleanup(f.Close)
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -57,6 +57,9 @@
 	// channel replies.
 	delegations []*delegation
 	replies     chan delegationReply
+	// isReplacement is set for a query that another dock delegated after it had delegated it to a third
+	// one, which may have sent the request.
+	isReplacement bool
 	// isLimitedToOneRun is set while no job may run more than once. A value on repeatPermit ends
 	// the limit.
 	isLimitedToOneRun bool
@@ -189,19 +192,42 @@
 func (q *query) answer() Outcome {
 	switch d := q.route.Destination.(type) {
 	case matcher.Single:
-		return q.run(&singleCollector{query: q}, d.Service)
+		return q.sendSingle(d.Service)
 	case matcher.Weighted:
-		return q.run(&singleCollector{query: q}, q.forwarder.roundRobin(q.route.Name).next(d.Shares))
+		return q.sendSingle(q.forwarder.roundRobin(q.route.Name).next(d.Shares))
 	case matcher.Scatter:
 		return q.scatter(d)
 	}
 	return NoRoute{}
 }
 
+// sendSingle sends the request to a service, or hands it over to a dock that may if this one may not.
+func (q *query) sendSingle(service identifier.ServiceName) Outcome {
+	f := q.forwarder
+	if f.selector.Connections(service) > 0 || q.request.isRelayed {
+		return q.run(&singleCollector{query: q}, service)
+	}
+	if o := q.relayTo(f.owners.sendersOf(service)); o != nil {
+		return o
+	}
+	return Refused{After: f.retryAfter(), Reason: ReasonNoSender}
+}
+
+// send sends the request to services: through the docks that own them, or directly. It returns the
+// outcome, or nil if the query goes on.
+func (q *query) send(services []identifier.ServiceName) Outcome {
+	own, o := q.delegate(services)
+	if o != nil {
+		return o
+	}
+	return q.start(own)
+}
+
 // run sends the request to services and processes events until there is an outcome.
 func (q *query) run(c collector, services ...identifier.ServiceName) Outcome {
 	q.collector = c
 	q.results = make(chan attemptResult, len(services))
+	q.replies = make(chan delegationReply)
 	q.detached = q.forwarder.detachment.signal()
 	if o := q.begin(services); o != nil {
 		return o
@@ -344,6 +370,14 @@
 	return slices.ContainsFunc(q.jobs, func(j *job) bool { return j.isAwaitingPermit && !j.isOver })
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedcaller_left"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_sendercaller_left"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 108}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 117}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedcaller_left"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_sendercaller_left"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -36,41 +36,44 @@
 	_ = x[ReasonQuarantined-9]
 	_ = x[ReasonLimited-10]
 	_ = x[ReasonSuspected-11]
-	_ = x[ReasonCallerLeft-12]
+	_ = x[ReasonNoSender-12]
+	_ = x[ReasonCallerLeft-13]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonCallerLeft}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonCallerLeft}
 
 var _ReasonNameToValueMap = map[string]Reason{
-	_ReasonName[0:4]:    ReasonNone,
-	_ReasonName[4:20]:   ReasonNoConfiguration,
-	_ReasonName[20:29]:  ReasonNoServer,
-	_ReasonName[29:36]:  ReasonNotRun,
-	_ReasonName[36:42]:  ReasonBudget,
-	_ReasonName[42:51]:  ReasonCongested,
-	_ReasonName[51:55]:  ReasonLost,
-	_ReasonName[55:63]:  ReasonCoverage,
-	_ReasonName[63:70]:  ReasonTimeout,
-	_ReasonName[70:81]:  ReasonQuarantined,
-	_ReasonName[81:88]:  ReasonLimited,
-	_ReasonName[88:97]:  ReasonSuspected,
-	_ReasonName[97:108]: ReasonCallerLeft,
+	_ReasonName[0:4]:     ReasonNone,
+	_ReasonName[4:20]:    ReasonNoConfiguration,
+	_ReasonName[20:29]:   ReasonNoServer,
+	_ReasonName[29:36]:   ReasonNotRun,
+	_ReasonName[36:42]:   ReasonBudget,
+	_ReasonName[42:51]:   ReasonCongested,
+	_ReasonName[51:55]:   ReasonLost,
+	_ReasonName[55:63]:   ReasonCoverage,
+	_ReasonName[63:70]:   ReasonTimeout,
+	_ReasonName[70:81]:   ReasonQuarantined,
+	_ReasonName[81:88]:   ReasonLimited,
+	_ReasonName[88:97]:   ReasonSuspected,
+	_ReasonName[97:106]:  ReasonNoSender,
+	_ReasonName[106:117]: ReasonCallerLeft,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
-	_ReasonLowerName[0:4]:    ReasonNone,
-	_ReasonLowerName[4:20]:   ReasonNoConfiguration,
-	_ReasonLowerName[20:29]:  ReasonNoServer,
-	_ReasonLowerName[29:36]:  ReasonNotRun,
-	_ReasonLowerName[36:42]:  ReasonBudget,
-	_ReasonLowerName[42:51]:  ReasonCongested,
-	_ReasonLowerName[51:55]:  ReasonLost,
-	_ReasonLowerName[55:63]:  ReasonCoverage,
-	_ReasonLowerName[63:70]:  ReasonTimeout,
-	_ReasonLowerName[70:81]:  ReasonQuarantined,
-	_ReasonLowerName[81:88]:  ReasonLimited,
-	_ReasonLowerName[88:97]:  ReasonSuspected,
-	_ReasonLowerName[97:108]: ReasonCallerLeft,
+	_ReasonLowerName[0:4]:     ReasonNone,
+	_ReasonLowerName[4:20]:    ReasonNoConfiguration,
+	_ReasonLowerName[20:29]:   ReasonNoServer,
+	_ReasonLowerName[29:36]:   ReasonNotRun,
+	_ReasonLowerName[36:42]:   ReasonBudget,
+	_ReasonLowerName[42:51]:   ReasonCongested,
+	_ReasonLowerName[51:55]:   ReasonLost,
+	_ReasonLowerName[55:63]:   ReasonCoverage,
+	_ReasonLowerName[63:70]:   ReasonTimeout,
+	_ReasonLowerName[70:81]:   ReasonQuarantined,
+	_ReasonLowerName[81:88]:   ReasonLimited,
+	_ReasonLowerName[88:97]:   ReasonSuspected,
+	_ReasonLowerName[97:106]:  ReasonNoSender,
+	_ReasonLowerName[106:117]: ReasonCallerLeft,
 }
 
 var _ReasonNames = []string{
@@ -86,7 +89,8 @@
 	_ReasonName[70:81],
 	_ReasonName[81:88],
 	_ReasonName[88:97],
-	_ReasonName[97:108],
+	_ReasonName[97:106],
+	_ReasonName[106:117],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,9 +87,9 @@
 	}
 }
 
-// relay hands the request over to other docks until one has taken it. It returns nil if none did, so
-// that it has not run. A dock that has taken it runs it as often as the route allows, so that no other
-// one gets it after that. Attempts limits the servers of a service that may run it, if it is not zero.
+// relay hands the request over to docks that can reach servers until one has taken it. It returns nil if
+// none did, so that it has not run. Attempts limits the servers of a service that may run it, if it is
+// not zero.
 func (q *query) relay(attempts int) Outcome {
 	f := q.forwarder
 	tried := map[identifier.HostName]bool{}
@@ -99,23 +100,66 @@
 			return nil
 		}
 		tried[dock.Host] = true
-		q.relayHosts = append(q.relayHosts, dock.Host)
-		reply, err := q.callRelay(dock, attempts)
-		switch {
-		case err == nil && reply.Outcome == encoder.RelayRefused && reply.Reason == ReasonNoServer.String():
-			// Another dock may know or reach other servers.
-			continue
-		case err == nil:
-			return relayedOutcome(reply)
-		case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
-			f.owners.markSuspect(now, dock)
-		default:
-			return q.relayFailure(dock)
+		if o := q.offer(now, dock, attempts); o != nil {
+			return o
 		}
 	}
 	return nil
 }
 
+// relayTo hands the request over to the first of some docks that takes it, those that failed lately last.
+// It returns nil if none did, so that it has not run.
+func (q *query) relayTo(docks []encoder.Dock) Outcome {
+	f := q.forwarder
+	ordered := slices.Clone(docks)
+	now := f.clock.Now()
+	slices.SortStableFunc(ordered, func(a, b encoder.Dock) int {
+		return compareBool(f.owners.isSuspect(now, a), f.owners.isSuspect(now, b))
+	})
+	for _, dock := range ordered {
+		now = f.clock.Now()
+		if !now.Before(q.giveUpAt()) {
+			return nil
+		}
+		if o := q.offer(now, dock, 0); o != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// offer hands the request over to a dock. It returns the outcome, or nil if the dock did not take it or
+// refused it because it knows no server, so that it has not run. A dock that has taken it runs it as often
+// as the route allows, so that no other one gets it after that.
+func (q *query) offer(now time.Time, dock encoder.Dock, attempts int) Outcome {
+	q.relayHosts = append(q.relayHosts, dock.Host)
+	reply, err := q.callRelay(dock, attempts)
+	switch {
+	case err == nil && reply.Outcome == encoder.RelayRefused && reply.Reason == ReasonNoServer.String():
+		// Another dock may know or reach other servers.
+		return nil
+	case err == nil:
+		return relayedOutcome(reply)
+	case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
+		q.forwarder.owners.markSuspect(now, dock)
+		return nil
+	default:
+		return q.relayFailure(dock)
+	}
+}
+
 // relayFailure returns the outcome of a request that another dock took and did not answer.
 func (q *query) relayFailure(dock encoder.Dock) Outcome {
 	f := q.forwarder
--- /dev/null
+++ b/internal/forwarder/senders_test.go
@@ -0,0 +1,97 @@
+package forwarder_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/matcher"
+)
+
+const (
+	// manyDocks is a number of docks of which not all can have a connection to a server that accepts
+	// 50, and manyDomains that of their failure domains.
+	manyDocks   = 200
+	manyDomains = 5
+)
+
+// newLargeCluster returns a cluster whose docks are part of a fleet of manyDocks. Each group of ten shards
+// has two senders.
+func newLargeCluster(t *testing.T, special map[int]handler, r matcher.Route) *cluster {
+	t.Helper()
+	c := newCluster(t, special, r)
+	for _, d := range c.docks {
+		d.SetDocks(manyDocks, manyDomains)
+	}
+	return c
+}
+
+// TestDockThatMayNotConnectUsesTheNextSender lets the links to the first senders fail in turn. No shard is
+// asked by more docks than the senders of its group.
+func TestDockThatMayNotConnectUsesTheNextSender(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c.getComplete()
+	c.refuseFirst(1)
+	c.getComplete()
+	assert.Equal(t, c.totalRequests(), 2*ownedShards)
+}
+
+// TestSilentSenderIsReplacedByTheNext loses the requests to the first sender. The second one answers in
+// time, and no shard runs the request more often than the route allows.
+func TestSilentSenderIsReplacedByTheNext(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, 300*time.Millisecond))
+	c.blackholeFirst()
+	began := time.Now()
+	c.getComplete()
+	assert.Assert(t, time.Since(began) < 300*time.Millisecond)
+	assert.Equal(t, c.totalRequests(), ownedShards)
+}
+
+// TestSingleServiceIsReachedThroughItsSenders sends requests that must not run twice to a service whose
+// servers accept fewer connections than there are docks. Only senders send to them, and each request runs
+// once.
+func TestSingleServiceIsReachedThroughItsSenders(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c.addServer("orders", "orders-a", answers("ordered"))
+	senders := 0
+	for _, f := range c.docks {
+		c.forwarder = f
+		f.UpdateServers(c.services)
+		table, err := matcher.Compile(matcher.Configuration{
+			Number: 2,
+			Routes: []matcher.Route{{
+				Name: "r", Host: "a.example", Prefix: "/x/", Destination: matcher.Single{Service: "orders"},
+				Timeout: time.Second, Attempts: 1,
+			}},
+			Services: []matcher.Service{{Name: "orders", Connections: 50}},
+		})
+		assert.NilError(t, err)
+		f.Configure(table)
+		senders += len(f.ConnectionTargets(time.Now()))
+	}
+	assert.Equal(t, senders, 1, "one of the docks owns the service")
+	for _, f := range c.docks {
+		c.forwarder = f
+		expect[forwarder.Answer](t, c.send(context.Background(), "POST", "body", time.Second))
+	}
+	requests, _ := c.servers["orders-a"].count()
+	assert.Equal(t, requests, len(c.docks))
+	assert.Assert(t, c.relayCalls >= len(c.docks)-3, "%d of %d docks handed the request over", c.relayCalls, len(c.docks))
+}
+
+// refuseFirst lets the next calls to docks fail before they are sent.
+func (c *cluster) refuseFirst(calls int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refusals = calls
+}
+
+// blackholeFirst drops the requests to the first dock that is called.
+func (c *cluster) blackholeFirst() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isFirstSilent = true
+}
--- a/internal/selector/budget.go
+++ b/internal/selector/budget.go
@@ -83,13 +83,13 @@
 // counted.
 func (s *Selector) allowance(service identifier.ServiceName) allowance {
 	slack := slackShare * float64(s.limits.Slack)
-	hostSlack := slack / float64(s.docks)
+	hostSlack := slack / float64(s.fleet.Docks)
 	switch {
 	case s.limits.Ratio == 0 && s.limits.Slack == 0:
 		return allowance{}
-	case s.ownership.Owned[service]:
-		hostSlack = ownerShare * slack / float64(max(1, s.ownership.Owners))
-	case s.ownership.Delegated[service]:
+	case s.ownership.owns(service):
+		hostSlack = ownerShare * slack / float64(s.fleet.Domains)
+	case s.ownership.hasSenders(service):
 		return allowance{burst: 1, start: 1, perSecond: nonOwnerShare * hostSlack / s.window().Seconds()}
 	}
 	burst := max(1, burstShare*hostSlack)
--- a/internal/selector/optionalretry_test.go
+++ b/internal/selector/optionalretry_test.go
@@ -25,7 +25,7 @@
 	)
 	random := rand.New(rand.NewPCG(3, 4))
 	s := selector.New("one", selector.BudgetLimits{Ratio: 0.2, Slack: 130}, 1)
-	s.SetDocks(20)
+	s.SetDocks(20, 1)
 	failed := 0
 	for i := range queries {
 		now := start.Add(time.Duration(i) * queryInterval)
--- a/internal/selector/ownership_test.go
+++ b/internal/selector/ownership_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/selector"
 )
@@ -14,11 +15,11 @@
 // threeOwners returns the ownership of a service with three owners, as an owner or another host
 // sees it.
 func threeOwners(isOwner bool) selector.Ownership {
-	return selector.Ownership{
-		Owned:     map[identifier.ServiceName]bool{"plates": isOwner},
-		Delegated: map[identifier.ServiceName]bool{"plates": true},
-		Owners:    3,
+	rank := allotter.NoRank
+	if isOwner {
+		rank = 0
 	}
+	return selector.Ownership{Ranks: map[identifier.ServiceName]int{"plates": rank}}
 }
 
 // TestOwnersRepeatsStayWithinBudget has 102 hosts in three failure domains. A service's owners send
@@ -36,7 +37,7 @@
 		hosts := []*selector.Selector{}
 		for range docks {
 			s := selector.New("one", selector.BudgetLimits{Ratio: ratio, Slack: slack, Window: window * time.Second}, 1)
-			s.SetDocks(docks)
+			s.SetDocks(docks, owners)
 			s.SetOwnership(threeOwners(false))
 			hosts = append(hosts, s)
 		}
@@ -83,7 +84,7 @@
 // part of the burst.
 func TestOwnersCanHedgeWithinBudget(t *testing.T) {
 	s := selector.New("one", selector.BudgetLimits{Ratio: 0.2, Slack: 268}, 1)
-	s.SetDocks(102)
+	s.SetDocks(102, 3)
 	s.SetOwnership(threeOwners(true))
 	denied := 0
 	for i := range 600 {
@@ -107,13 +108,14 @@
 
 func TestOwnersHoldMoreConnections(t *testing.T) {
 	s := selector.New("one", selector.BudgetLimits{}, 1)
-	s.SetDocks(102)
+	s.SetDocks(102, 3)
 	s.SetServices(map[identifier.ServiceName]int{"plates": 86})
 	assert.Equal(t, s.Connections("plates"), 1)
 	s.SetOwnership(threeOwners(true))
 	assert.Assert(t, s.Connections("plates") > 4)
 	assert.Assert(t, 2*3*s.Connections("plates") <= 86, "the current and the next owners fit")
-	assert.Assert(t, !s.IsOwnedElsewhere("plates"))
+	assert.Assert(t, s.KeepsConnections("plates"))
 	s.SetOwnership(threeOwners(false))
-	assert.Assert(t, s.IsOwnedElsewhere("plates"))
+	assert.Assert(t, !s.KeepsConnections("plates"))
+	assert.Equal(t, s.Connections("plates"), 0, "only senders may connect")
 }
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -8,14 +8,14 @@
 	"banyandock.example/banyandock/internal/encoder"
 )
 
-// ProbeTargets returns at most count different servers, drawn at random from those that send
-// heartbeats.
+// ProbeTargets returns at most count different servers, drawn at random from those that send heartbeats
+// and to which this host may connect.
 func (s *Selector) ProbeTargets(count int) []Target {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	candidates := []*server{}
 	for _, v := range s.servers {
-		if !v.info.Silent {
+		if !v.info.Silent && s.connectionsTo(v.info.Service) > 0 {
 			candidates = append(candidates, v)
 		}
 	}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -52,7 +53,7 @@
 	subsets map[identifier.ServiceName][]*server
 	budgets map[identifier.ServiceName]*budget
 	limits  BudgetLimits
-	docks   int
+	fleet   allotter.Fleet
 	// ownership holds the services that this host sends to on behalf of others.
 	ownership Ownership
 	// connections is how many connections each server of a service accepts from all hosts.
@@ -83,7 +84,7 @@
 		subsets:       map[identifier.ServiceName][]*server{},
 		budgets:       map[identifier.ServiceName]*budget{},
 		limits:        limits,
-		docks:         1,
+		fleet:         allotter.Fleet{Docks: 1, Domains: 1},
 
 		connections:  map[identifier.ServiceName]int{},
 		earlyLimits:  map[encoder.ServerID]earlyLimit{},
@@ -127,18 +128,29 @@
 	return isChanged
 }
 
-// SetDocks sets the number of hosts among which budgets and connections are divided. Numbers below
-// one count as one.
-func (s *Selector) SetDocks(n int) {
+// SetDocks sets the number of hosts among which budgets and connections are divided, and that of their
+// failure domains. Numbers below one count as one. It reports whether the senders of services must be
+// assigned anew, because the connections that they may hold have changed.
+func (s *Selector) SetDocks(docks, domains int) (mustAssign bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if n = max(1, n); n == s.docks {
-		return
+	before := s.fleet
+	s.fleet = allotter.Fleet{Docks: max(1, docks), Domains: max(1, domains)}
+	if s.fleet == before {
+		return false
 	}
-	s.docks = n
 	for name := range s.services {
 		s.chooseSubset(name)
 	}
+	if s.fleet.Domains != before.Domains {
+		return true
+	}
+	for _, accepted := range s.connections {
+		if (allotter.Shared(accepted, before) == 0) != (allotter.Shared(accepted, s.fleet) == 0) {
+			return true
+		}
+	}
+	return false
 }
 
 // Target is a server chosen for a request.
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -185,7 +185,7 @@
 		hosts := []*selector.Selector{}
 		for range docks {
 			s := selector.New("one", selector.BudgetLimits{Ratio: ratio, Slack: slack}, 1)
-			s.SetDocks(docks)
+			s.SetDocks(docks, 1)
 			hosts = append(hosts, s)
 		}
 		requests, repeats := [60]int{}, [60]int{}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -252,6 +252,16 @@
 	}
 }
 
+// OverCap records that a request ended without an answer because the server accepts no further connection.
+// IsBlocked is set if this host has no other connection to it, so that requests had better go elsewhere.
+func (s *Selector) OverCap(now time.Time, f *InFlightRequest, isBlocked bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if v := f.remove(); v != nil && isBlocked {
+		v.blockedUntil = now.Add(initialBlock)
+	}
+}
+
 // Cancelled records that the caller cancelled a request. A request that already took longer than
 // usual counts as an observation of a slow server.
 func (s *Selector) Cancelled(now time.Time, f *InFlightRequest) {
--- a/internal/selector/subset.go
+++ b/internal/selector/subset.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 )
@@ -15,20 +16,9 @@
 const (
 	// outsideSubsetFactor multiplies the score of a server outside this host's subset.
 	outsideSubsetFactor = 1.4
-	// connectionShare is the part of a server's connections that is divided among the hosts. The
-	// rest is for health checks and for hosts that have just started.
+	// connectionShare is the part of a server's connections that is divided among the hosts if each
+	// uses a subset of the servers. The rest is for health checks and for hosts that have just started.
 	connectionShare = 0.85
-	// ownerConnections is the part of a server's connections that the owners of its service hold
-	// together. It is below one half so that the next owners can connect before the former ones
-	// disconnect.
-	ownerConnections = 0.4
-	// maxOwnerConnections is the maximum number of connections from one owner to one server.
-	maxOwnerConnections = 12
-	// defaultConnections is used for a service without a configured limit of connections.
-	defaultConnections = 2
-	// maxConnections is the maximum number of connections from one host that is not an owner to one
-	// server, however many the server accepts.
-	maxConnections = 32
 )
 
 // SetServices sets, for each service, how many connections each of its servers accepts from all
@@ -49,52 +39,92 @@
 	})
 }
 
-// Ownership describes how the sending of scatter requests is divided among the hosts.
+// Ownership describes how the sending of requests is divided among the hosts.
 type Ownership struct {
-	// Owned holds the services that this host owns: other hosts delegate their requests to it.
-	Owned map[identifier.ServiceName]bool
-	// Delegated holds the services that have owners, including those in Owned.
-	Delegated map[identifier.ServiceName]bool
-	// Owners is the number of hosts that own each delegated service.
-	Owners int
+	// Ranks holds the services that have senders, with the rank of this host among those of its
+	// failure domain: 0 if it owns the service, or allotter.NoRank if it is not a sender.
+	Ranks map[identifier.ServiceName]int
 }
 
-// SetOwnership replaces the ownership and reports whether the set of owned services changed.
+// owns reports whether this host owns a service: other hosts delegate their requests to it.
+func (o Ownership) owns(service identifier.ServiceName) bool {
+	rank, hasSenders := o.Ranks[service]
+	return hasSenders && rank == 0
+}
+
+// hasSenders reports whether a service has senders.
+func (o Ownership) hasSenders(service identifier.ServiceName) bool {
+	_, ok := o.Ranks[service]
+	return ok
+}
+
+// CountOwned returns the number of services that this host owns.
+func (o Ownership) CountOwned() int {
+	n := 0
+	for _, rank := range o.Ranks {
+		if rank == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// SetOwnership replaces the ownership and reports whether a rank of this host changed.
 func (s *Selector) SetOwnership(o Ownership) (isChanged bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before := s.ownership
 	s.ownership = o
 	for name := range s.services {
-		if before.Owned[name] != o.Owned[name] {
+		if before.owns(name) != o.owns(name) {
 			s.chooseSubset(name)
 		}
 	}
-	return !maps.Equal(before.Owned, o.Owned)
+	return !maps.Equal(before.Ranks, o.Ranks)
+}
+
+// KeepsConnections reports whether this host opens connections to the servers of a service before
+// requests need them: if every host sends to the service, or if this host owns it.
+func (s *Selector) KeepsConnections(service identifier.ServiceName) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.ownership.hasSenders(service) || s.ownership.owns(service)
 }
 
-// IsOwnedElsewhere reports whether a service has owners and this host is not one of them.
-func (s *Selector) IsOwnedElsewhere(service identifier.ServiceName) bool {
+// NeedsSenders reports whether the servers of a service do not accept a connection from every host.
+func (s *Selector) NeedsSenders(service identifier.ServiceName) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.ownership.Delegated[service] && !s.ownership.Owned[service]
+	return allotter.Shared(s.connections[service], s.fleet) == 0
 }
 
 // Connections returns the maximum number of connections that this host may hold to one server of a
-// service.
+// service. It is 0 if only other hosts may send to the service.
 func (s *Selector) Connections(service identifier.ServiceName) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	accepted := s.connections[service]
-	if accepted <= 0 {
-		return defaultConnections
+	return s.connectionsTo(service)
+}
+
+// connectionsTo is Connections for a caller that holds the lock.
+func (s *Selector) connectionsTo(service identifier.ServiceName) int {
+	if rank, ok := s.ownership.Ranks[service]; ok {
+		return allotter.OfSender(s.connections[service], s.fleet, rank)
 	}
-	if s.ownership.Owned[service] {
-		share := int(ownerConnections * float64(accepted) / float64(max(1, s.ownership.Owners)))
-		return min(maxOwnerConnections, max(1, share))
+	// A service without senders is one that every host may send to, or not assigned yet.
+	return max(1, allotter.Shared(s.connections[service], s.fleet))
+}
+
+// CountSenders returns how many docks of each failure domain may send to a service that has senders.
+func (s *Selector) CountSenders(service identifier.ServiceName) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for rank := range allotter.Senders {
+		if allotter.OfSender(s.connections[service], s.fleet, rank) == 0 {
+			return rank
+		}
 	}
-	share := int(connectionShare * float64(accepted) / float64(s.docks))
-	return min(maxConnections, max(1, share))
+	return allotter.Senders
 }
 
 // chooseSubset chooses the servers of a service that this host holds connections to. If a server
@@ -103,8 +133,8 @@
 // requests only if their score is much better. The caller holds the lock.
 func (s *Selector) chooseSubset(service identifier.ServiceName) {
 	servers := s.services[service]
-	size := subsetSize(len(servers), s.connections[service], s.docks)
-	if s.ownership.Owned[service] {
+	size := subsetSize(len(servers), s.connections[service], s.fleet.Docks)
+	if s.ownership.owns(service) {
 		size = len(servers)
 	}
 	ranked := slices.Clone(servers)
@@ -154,3 +184,14 @@
 	_, _ = d.WriteString(string(id))
 	return d.Sum64()
 }
+
+// Addresses returns all servers. Only ID, Address, Domain and Service of the targets are set.
+func (s *Selector) Addresses() []Target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	targets := make([]Target, 0, len(s.servers))
+	for _, v := range s.servers {
+		targets = append(targets, Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain, Service: v.info.Service})
+	}
+	return targets
+}
--- a/internal/selector/subset_test.go
+++ b/internal/selector/subset_test.go
@@ -19,7 +19,7 @@
 	for i := range docks {
 		s := selector.New("elsewhere", selector.BudgetLimits{}, uint64(i+1))
 		s.Update(map[identifier.ServiceName][]locator.Server{"plates": servers("a", "b", "c")})
-		s.SetDocks(docks)
+		s.SetDocks(docks, 1)
 		s.SetServices(map[identifier.ServiceName]int{"plates": 86})
 		for range 20 {
 			target, ok := s.Choose(start, "plates", nil)
@@ -42,7 +42,7 @@
 func TestHostsUseAllServersWhenConnectionsSuffice(t *testing.T) {
 	s := selector.New("elsewhere", selector.BudgetLimits{}, 1)
 	s.Update(map[identifier.ServiceName][]locator.Server{"plates": servers("a", "b", "c")})
-	s.SetDocks(20)
+	s.SetDocks(20, 1)
 	s.SetServices(map[identifier.ServiceName]int{"plates": 58})
 	used := map[encoder.ServerID]bool{}
 	for range 100 {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -111,6 +111,9 @@
 	domainDocksDigest uint64
 	leader            netip.AddrPort
 	voters            int
+	// docks and domains are the numbers of docks and of their failure domains.
+	docks   peak
+	domains peak
 	// lastPublish is when the servers were last computed. isPublishScheduled is set while another
 	// computation is scheduled.
 	lastPublish        time.Time
@@ -273,7 +276,7 @@
 		docks = max(docks, k.docks)
 		domains = max(domains, k.domains)
 	}
-	w.sink.SetDocks(docks, domains)
+	w.sink.SetDocks(w.docks.observe(w.lastPublish, docks), w.domains.observe(w.lastPublish, domains))
 }
 
 // addKeeper starts to watch an address unless it is being watched already. It returns nil if the
@@ -324,7 +327,9 @@
 		k.quarantinesDigest = reply.QuarantinesDigest
 		w.sink.SetQuarantines(reply.Quarantines)
 	}
-	if reply.IsLeader && reply.FellowsDigest != w.domainDocksDigest {
+	// Without any list, that of a keeper that does not lead is used until the leader is found.
+	isFirstList := w.domainDocksDigest == 0 && len(reply.Fellows) > 0
+	if (reply.IsLeader || isFirstList) && reply.FellowsDigest != w.domainDocksDigest {
 		w.domainDocksDigest = reply.FellowsDigest
 		w.sink.SetDomainDocks(reply.Fellows)
 	}
