A scattered request that reached no server is refused as not run

Cause: too little coverage always counted as possibly run, as did a request to a single service that still waited for a connection at its deadline.

Change: each attempt records when its request is written. If none was, and no dock that got a part of the query tells of a run, what still waits for a connection is ended, and the request is refused with Retry-After.

Tests that fail before: TestRequestThatReachedNoServerIsRefused, TestRequestThatNoSenderTakesIsRefusedAtOnce, TestDockWithoutAListOfDocksDoesNotConnect.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -102,6 +102,7 @@
 	destination.OnWrite = func() {
 		if run == nil {
 			run = f.accuser.Begin(f.clock.Now(), a.accusable())
+			a.job.written.Add(1)
 		}
 	}
 	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
@@ -111,6 +112,9 @@
 		r.reply = &reply
 	}
 	r.outcome = a.classify(&reply, err)
+	if run != nil && (r.outcome == AttemptNotRun || errors.Is(err, sender.ErrNotSent)) {
+		a.job.written.Add(-1)
+	}
 	a.updateSelector(now, flight, r)
 	if r.outcome == AttemptAnswered {
 		a.job.recordAnswer()
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -63,9 +63,13 @@
 	pending map[int]bool
 	// hasReplied is set after the first reply. The owner may then have the request run more than
 	// once.
-	hasReplied       bool
-	isOver           bool
-	ownerFailure     ownerFailure
+	hasReplied   bool
+	isOver       bool
+	ownerFailure ownerFailure
+	// hasRun is set if the sender told that a server may have run the request for a shard, and isDone if
+	// it has told of all shards.
+	hasRun           bool
+	isDone           bool
 	lastReplyElapsed time.Duration
 }
 
@@ -241,6 +245,12 @@
 	}
 }
 
+// mayHaveRun reports whether a server may have run the request for the delegation.
+func (d *delegation) mayHaveRun() bool {
+	isComplete := d.isDone && len(d.pending) == 0
+	return d.hasRun || !isComplete && d.ownerFailure != ownerFailureRefused
+}
+
 // isAwaited reports whether the first reply of the owner is still awaited.
 func (d *delegation) isAwaited() bool { return !d.isOver && !d.hasReplied }
 
@@ -256,12 +266,14 @@
 	d.hasReplied = true
 	q.isolation.hasAnswer = q.isolation.hasAnswer || slices.ContainsFunc(reply.reply.Parts, func(p encoder.GatherPart) bool { return p.Stamp != "" })
 	d.lastReplyElapsed = now.Sub(q.request.Arrived)
+	d.isDone = reply.reply.IsDone
 	rows := reply.reply.Rows
 	for _, p := range reply.reply.Parts {
 		if !d.pending[p.Index] {
 			continue
 		}
 		delete(d.pending, p.Index)
+		d.hasRun = d.hasRun || p.HasRun || p.Stamp != ""
 		part := result{service: d.services[p.Index], reason: ReasonLost, hasRun: p.HasRun}
 		if p.Stamp != "" {
 			// The rows of all parts are attached to the first one that has a stamp.
@@ -294,6 +306,30 @@
 	}
 }
 
+// awaitRefusals waits at most linkRoundTrip for the senders that have not replied yet, which may all refuse
+// the request, as long as nothing is known to have run.
+func (q *query) awaitRefusals() {
+	timer := q.forwarder.clock.NewTimer(linkRoundTrip)
+	defer timer.Stop()
+	for !q.isKnownToHaveRun() && slices.ContainsFunc(q.delegations, (*delegation).isAwaited) {
+		select {
+		case r := <-q.replies:
+			r.delegation.endUnused(r)
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// endUnused ends a delegation whose parts are no longer of use.
+func (d *delegation) endUnused(r delegationReply) {
+	d.isOver = true
+	d.hasRun = d.hasRun || r.err == nil
+	if isRefusal(r.err) {
+		d.ownerFailure = ownerFailureRefused
+	}
+}
+
 // isRefusal reports whether a call to a sender failed before the sender accepted the request.
 func isRefusal(err error) bool {
 	return errors.Is(err, linker.ErrNotSent) || errors.Is(err, linker.ErrRemote)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -47,6 +47,9 @@
 	isAwaitingIsolation bool
 	// wasAnswered is set once a server has answered the request. Any goroutine may access it.
 	wasAnswered atomic.Bool
+	// written counts the attempts of which a server may have got the request, unless it told that it did
+	// not run it. Any goroutine may access it.
+	written atomic.Int32
 	// isAwaitingPermit is set while the job waits for the permission to run once more.
 	isAwaitingPermit bool
 	// failureReply is a server's failure reply. It is passed on if no server answers with success.
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -253,6 +253,37 @@
 	}
 }
 
+// endUnsent ends the attempts that wait for a connection if no server can have got the request yet. It
+// reports whether none has and none will.
+func (q *query) endUnsent() bool {
+	q.awaitRefusals()
+	if q.mayHaveRun() {
+		return false
+	}
+	q.cancel()
+	for _, j := range q.jobs {
+		for j.inFlight > 0 {
+			r := <-q.results
+			r.attempt.job.inFlight--
+			r.attempt.job.trace.end(r)
+		}
+	}
+	return !q.mayHaveRun()
+}
+
+// mayHaveRun reports whether a server may have run the request, here or at a dock that it was delegated
+// to.
+func (q *query) mayHaveRun() bool {
+	return q.isKnownToHaveRun() || slices.ContainsFunc(q.delegations, (*delegation).mayHaveRun)
+}
+
+// isKnownToHaveRun reports whether a server got the request from this dock, or a dock that it was
+// delegated to has told so.
+func (q *query) isKnownToHaveRun() bool {
+	return slices.ContainsFunc(q.jobs, func(j *job) bool { return j.written.Load() > 0 }) ||
+		slices.ContainsFunc(q.delegations, func(d *delegation) bool { return d.hasRun })
+}
+
 // isRepeatForbidden reports whether the request must not be sent again to a job's service, because it
 // crashes servers or seems to.
 func (q *query) isRepeatForbidden(now time.Time, j *job) bool {
@@ -417,7 +448,7 @@
 	if now.Before(giveUp) {
 		return nil, giveUp
 	}
-	if c.query.jobs[0].runs > 0 {
+	if !c.query.endUnsent() {
 		return Failed{Reason: ReasonTimeout}, giveUp
 	}
 	return Refused{After: defaultRetryAfter, Reason: ReasonTimeout}, giveUp
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -116,8 +116,11 @@
 	}
 }
 
-// insufficientCoverage returns the outcome for too few parts. It is Failed and not Refused, because
-// some shards may have run the request. Scattered requests are idempotent.
+// insufficientCoverage returns the outcome for too few parts: Refused if no server can have run the
+// request, so that the caller knows that it may repeat it, and Failed otherwise.
 func (c *scatterCollector) insufficientCoverage() Outcome {
-	return Failed{Reason: ReasonCoverage}
+	if !c.query.endUnsent() {
+		return Failed{Reason: ReasonCoverage}
+	}
+	return Refused{After: c.query.forwarder.retryAfter(), Reason: ReasonCoverage}
 }
--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -39,6 +39,25 @@
 	assert.Equal(t, c.totalRequests(), 2*ownedShards)
 }
 
+// TestRequestThatNoSenderTakesIsRefusedAtOnce lets all links of a dock fail that is no sender. It has
+// neither asked the servers itself nor left the caller in doubt.
+func TestRequestThatNoSenderTakesIsRefusedAtOnce(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
+	t.Cleanup(f.Close)
+	f.SetDocks(manyDocks, manyDomains)
+	f.SetDomainDocks(c.domainDocks)
+	f.UpdateServers(c.services)
+	c.forwarder = f
+	c.setRoute(scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c.setFault(faultRefused)
+	began := time.Now()
+	refused := expect[forwarder.Refused](t, c.get())
+	assert.Assert(t, time.Since(began) < 200*time.Millisecond)
+	assert.Assert(t, refused.After > 0)
+	assert.Equal(t, c.totalRequests(), 0)
+}
+
 // TestSilentSenderIsReplacedByTheNext loses the requests to the first sender. The second one answers in
 // time, and no shard runs the request more often than the route allows.
 func TestSilentSenderIsReplacedByTheNext(t *testing.T) {
@@ -50,6 +69,20 @@
 	assert.Equal(t, c.totalRequests(), ownedShards)
 }
 
+// TestDockWithoutAListOfDocksDoesNotConnect has a dock that knows how many docks there are and not which.
+func TestDockWithoutAListOfDocksDoesNotConnect(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
+	t.Cleanup(f.Close)
+	f.SetDocks(manyDocks, manyDomains)
+	f.UpdateServers(c.services)
+	c.forwarder = f
+	c.setRoute(scatterRoute(ownedShards, 3, 0.9, time.Second))
+	assert.Equal(t, len(f.ConnectionTargets(time.Now())), 0)
+	expect[forwarder.Refused](t, c.get())
+	assert.Equal(t, c.totalRequests(), 0)
+}
+
 // TestSingleServiceIsReachedThroughItsSenders sends requests that must not run twice to a service whose
 // servers accept fewer connections than there are docks. Only senders send to them, and each request runs
 // once.
@@ -82,6 +115,18 @@
 	assert.Assert(t, c.relayCalls >= len(c.docks)-3, "%d of %d docks handed the request over", c.relayCalls, len(c.docks))
 }
 
+// TestRequestThatReachedNoServerIsRefused takes the servers of all shards down. Nothing can have run, so
+// the caller may repeat the request.
+func TestRequestThatReachedNoServerIsRefused(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.addShards(5, nil)
+	d.setRoute(scatterRoute(5, 3, 0.9, time.Second))
+	for _, s := range d.servers {
+		s.server.Close()
+	}
+	expect[forwarder.Refused](t, d.get())
+}
+
 // refuseFirst lets the next calls to docks fail before they are sent.
 func (c *cluster) refuseFirst(calls int) {
 	c.mutex.Lock()
