One answer that is late by milliseconds does not make a failing server the better choice

Traced: one answer of the good server 20 ms late counted as 66 times the usual latency of 0.3 ms.

Change: 5 ms are added to both latencies before they are compared, since a host that waits for its processor is that late with any server's answer.

Test: TestOneLateAnswerIsBetterThanAFailure, without clocks or load; fails before.

--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -259,3 +259,18 @@
 	}
 	assert.Assert(t, l.Median() > 10*time.Millisecond, "%v", l.Median())
 }
+
+// TestOneLateAnswerIsBetterThanAFailure has a server whose requests all fail, and one that answers in 0.3
+// ms and once 20 ms late, as a busy machine does. A request must go to the one that answers.
+func TestOneLateAnswerIsBetterThanAFailure(t *testing.T) {
+	const usual = 300 * time.Microsecond
+	s := selector.New("one", selector.BudgetLimits{}, 1)
+	s.Update(map[identifier.ServiceName][]locator.Server{"plates": servers("failing", "late")})
+	s.Answered(start.Add(usual), s.Begin(start, "failing", usual), true, nil)
+	s.Answered(start.Add(20*time.Millisecond+usual), s.Begin(start, "late", usual), false, nil)
+	for range 100 {
+		target, ok := s.Choose(start.Add(21*time.Millisecond), "plates", nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, string(target.ID), "late")
+	}
+}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -19,6 +19,9 @@
 	observationDecayTime = 2 * time.Second
 	// loadDecayTime is the time constant with which a server's own report of its load decays.
 	loadDecayTime = 100 * time.Millisecond
+	// latencySlack is added to latencies before they are compared, because a host that waits for its
+	// processor is late by some milliseconds with an answer of any server.
+	latencySlack = 5 * time.Millisecond
 	// coldFactor multiplies the score of a server that has just started.
 	coldFactor = 1.6
 	// failureFactor weights the failure rate: the score of a server whose requests all fail is
@@ -212,7 +215,7 @@
 	v.replacedFor = 0
 	v.observe(now, isFailure)
 	if !isFailure && f.usual > 0 {
-		ratio := float64(elapsed) / float64(f.usual)
+		ratio := relativeLatency(elapsed, f.usual)
 		v.slowness = v.currentSlowness() + ewmaWeight*(ratio-v.currentSlowness())
 	}
 	if load != nil && load.Slots > 0 {
@@ -221,6 +224,11 @@
 	return elapsed
 }
 
+// relativeLatency returns a latency as a multiple of the usual one.
+func relativeLatency(elapsed, usual time.Duration) float64 {
+	return float64(elapsed+latencySlack) / float64(usual+latencySlack)
+}
+
 // applyLoad updates the state with a server's report of its load.
 func (v *server) applyLoad(now time.Time, load Load) {
 	others := load.Running + load.Waiting - len(v.inFlight)
@@ -271,12 +279,12 @@
 	if v == nil || f.usual <= 0 {
 		return
 	}
-	ratio := float64(now.Sub(f.started)) / float64(f.usual)
-	if ratio >= slowRatio {
+	elapsed := now.Sub(f.started)
+	if float64(elapsed) >= slowRatio*float64(f.usual) {
 		s.lastSilence = now
-		s.record(f, now.Sub(f.started), false)
+		s.record(f, elapsed, false)
 	}
-	if ratio > v.currentSlowness() {
+	if ratio := relativeLatency(elapsed, f.usual); ratio > v.currentSlowness() {
 		v.slowness = v.currentSlowness() + ewmaWeight*(ratio-v.currentSlowness())
 		v.observe(now, false)
 	}
