Probes and not requests find out whether servers are back

Cause: a server that had refused connections counted as reachable again when its pause of 0.1 to 2 s ended, so that each dock's next query found the coverage sufficient, was sent everywhere and failed 1 to 6 ms later. Its requests on new connections (6 ms each) had then not arrived, and nobody could say so.

--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -224,16 +224,6 @@
 	assert.Assert(t, share(served[:], sent[:]) > 0.95, "%v of %v", served, sent)
 }
 
-// totalRequests returns the number of requests that arrived at all servers.
-func (d *detachment) totalRequests() int {
-	sum := 0
-	for _, s := range d.servers {
-		n, _ := s.count()
-		sum += n
-	}
-	return sum
-}
-
 // TestCallersOfDocksWithoutServersAreServedFarWorse cuts some docks off from all servers and compares
 // the callers of these with those of the other docks.
 func TestCallersOfDocksWithoutServersAreServedFarWorse(t *testing.T) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -162,9 +162,10 @@
 	f.detachment = newDetachment(f)
 	f.relays = &relays{inFlight: map[netip.AddrPort]int{}}
 	f.endChecker = &endChecker{forwarder: f, checking: map[locator.Start]bool{}}
-	f.tasks.Add(2)
+	f.tasks.Add(3)
 	go f.detachment.loop()
 	go f.endChecker.loop()
+	go (&reachProber{f}).loop()
 	return f
 }
 
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -165,16 +165,6 @@
 	return c
 }
 
-// totalRequests returns the number of requests that arrived at all servers.
-func (c *cluster) totalRequests() int {
-	sum := 0
-	for _, s := range c.servers {
-		n, _ := s.count()
-		sum += n
-	}
-	return sum
-}
-
 // getComplete sends a GET request and checks that the answer contains each shard's part once.
 func (c *cluster) getComplete() {
 	c.t.Helper()
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -8,6 +8,9 @@
 	"banyandock.example/banyandock/internal/encoder"
 )
 
+// probeInterval is the time between two probes of a server that is down.
+const probeInterval = 400 * time.Millisecond
+
 // ProbeTargets returns at most count different servers, drawn at random from those that send heartbeats
 // and to which this host may connect.
 func (s *Selector) ProbeTargets(count int) []Target {
@@ -49,3 +52,43 @@
 	clear(s.observations)
 	s.lastSilence = time.Time{}
 }
+
+// DueProbes returns at most limit servers that are down and must be probed now, because requests do not
+// find out whether they are back. Servers to which this host may not connect are left out.
+func (s *Selector) DueProbes(now time.Time, limit int) []Target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	due := []*server{}
+	for _, v := range s.servers {
+		if v.isDown() && !v.isReplaced(now) && now.Sub(v.probedAt) >= probeInterval && s.connectionsTo(v.info.Service) > 0 {
+			due = append(due, v)
+		}
+	}
+	slices.SortFunc(due, func(a, b *server) int {
+		return cmp.Or(a.probedAt.Compare(b.probedAt), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	targets := []Target{}
+	for _, v := range due[:min(limit, len(due))] {
+		v.probedAt = now
+		targets = append(targets, v.target(now, 0))
+	}
+	return targets
+}
+
+// Reached records that a connection to a start of a server could be opened.
+func (s *Selector) Reached(id encoder.ServerID, born int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if v := s.servers[id]; v != nil && v.info.Born == born {
+		s.markReached(v)
+	}
+}
+
+// markReached ends the time in which a server counts as down. The caller holds the lock.
+func (s *Selector) markReached(v *server) {
+	if v.isDown() {
+		s.onServerEvent(ServerEvent{Kind: ServerReachable, Server: v.info.ID, Service: v.info.Service})
+	}
+	v.connectFailures = 0
+	v.blockedUntil = time.Time{}
+}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -60,8 +60,10 @@
 	queueDepth float64
 	reportedAt time.Time
 	// blockedUntil is the end of the time in which the server gets no requests because connecting
-	// to it failed. connectFailures counts consecutive failures to connect.
+	// to it failed. connectFailures counts consecutive failures to connect, and probedAt is when a probe
+	// of a server that is down began last.
 	blockedUntil time.Time
+	probedAt     time.Time
 	// replacedUntil is the end of the time in which the server gets no requests at all because another
 	// server replied at its address. replacedFor is how long that time was.
 	replacedUntil   time.Time
@@ -101,7 +103,7 @@
 	if now.Before(v.info.ColdUntil) {
 		score *= coldFactor
 	}
-	if now.Before(v.blockedUntil) {
+	if v.isDown() || now.Before(v.blockedUntil) {
 		score *= blockedFactor
 	}
 	if v.info.Silent {
@@ -144,11 +146,12 @@
 // isReplaced reports whether another server replied at the server's address lately.
 func (v *server) isReplaced(now time.Time) bool { return now.Before(v.replacedUntil) }
 
-// isUnreachable reports whether another server has its address, or connecting to the server failed
-// several times in a row and the server is still blocked.
-func (v *server) isUnreachable(now time.Time) bool {
-	return v.isReplaced(now) || v.connectFailures >= downFailures && now.Before(v.blockedUntil)
-}
+// isDown reports whether connecting to the server failed several times in a row, and it has not been
+// reached since.
+func (v *server) isDown() bool { return v.connectFailures >= downFailures }
+
+// isUnreachable reports whether another server has its address or the server is down.
+func (v *server) isUnreachable(now time.Time) bool { return v.isReplaced(now) || v.isDown() }
 
 // decay returns the weight of an observation of the given age.
 func decay(age, constant time.Duration) float64 {
@@ -207,11 +210,7 @@
 	if !isFailure || !isFull {
 		s.record(f, elapsed, isFailure)
 	}
-	if v.connectFailures >= downFailures {
-		s.onServerEvent(ServerEvent{Kind: ServerReachable, Server: v.info.ID, Service: v.info.Service})
-	}
-	v.connectFailures = 0
-	v.blockedUntil = time.Time{}
+	s.markReached(v)
 	v.replacedFor = 0
 	v.observe(now, isFailure)
 	if !isFailure && f.usual > 0 {
