--- a/internal/forwarder/serverlogger.go
+++ b/internal/forwarder/serverlogger.go
@@ -46,6 +46,8 @@
 		return recorder.EventServerLimited
 	case selector.ServerReplaced:
 		return recorder.EventServerReplaced
+	case selector.ServerOverCap:
+		return recorder.EventServerOverCap
 	case selector.ServerUnlimited:
 		return recorder.EventServerUnlimited
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -13,6 +13,8 @@
 	EventServerAvailable = "server taken in"
 	// EventServerGone reports that a backend server no longer accepts requests.
 	EventServerGone = "server gone"
+	// EventServerOverCap reports that a backend server reset a new connection, because it accepts no more.
+	EventServerOverCap = "server resets new connections"
 	// EventServerUnreachable reports that a backend server could not be reached or that its
 	// connection broke.
 	EventServerUnreachable = "server unreachable"
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -282,3 +282,28 @@
 		assert.Equal(t, string(target.ID), "late")
 	}
 }
+
+// TestResetOverTheCapIsNoFailure has a server that resets new connections, because it accepts no more. Its
+// score stays as it was, it is not reported as failing, and the reset is reported once in a while.
+func TestResetOverTheCapIsNoFailure(t *testing.T) {
+	s := newSelector(servers("full", "other"))
+	events := 0
+	s.OnServerEvent(func(e selector.ServerEvent) {
+		if e.Kind == selector.ServerOverCap {
+			events++
+		}
+	})
+	before, _ := s.Find(start, "plates", "full")
+	for range 10 {
+		s.OverCap(start, s.Begin(start, "full", usual), false)
+	}
+	after, _ := s.Find(start, "plates", "full")
+	assert.Equal(t, after.Score, before.Score)
+	assert.Equal(t, len(s.TakeObservations()), 0)
+	assert.Equal(t, events, 1)
+	s.OverCap(start, s.Begin(start, "full", usual), true)
+	assert.Equal(t, mostChosen(t, s, start.Add(50*time.Millisecond)), "other")
+	assert.Assert(t, s.HasReachable("plates", start), "it may still accept connections of others")
+	s.OverCap(start.Add(6*time.Second), s.Begin(start, "full", usual), false)
+	assert.Equal(t, events, 2)
+}
--- a/internal/selector/server.go
+++ b/internal/selector/server.go
@@ -38,6 +38,8 @@
 	// another one has replied at its address. A later start that the keepers tell of gets them at once.
 	initialReplaced = 5 * time.Second
 	maxReplaced     = time.Minute
+	// overCapInterval is the least time between two reports that a server resets new connections.
+	overCapInterval = 5 * time.Second
 	// downFailures is the number of consecutive connection failures after which a server counts as
 	// unreachable.
 	downFailures = 2
@@ -69,6 +71,8 @@
 	replacedUntil   time.Time
 	replacedFor     time.Duration
 	connectFailures int
+	// overCapAt is when it was last reported that the server resets new connections.
+	overCapAt time.Time
 	// limit is what the server last said of the requests that it takes.
 	limit limiter.Statement
 	// isLimitUnreported is set while the leading keeper has not been told of the limit. refused counts
@@ -264,9 +268,17 @@
 func (s *Selector) OverCap(now time.Time, f *InFlightRequest, isBlocked bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if v := f.remove(); v != nil && isBlocked {
+	v := f.remove()
+	if v == nil {
+		return
+	}
+	if isBlocked {
 		v.blockedUntil = now.Add(initialBlock)
 	}
+	if now.Sub(v.overCapAt) >= overCapInterval {
+		v.overCapAt = now
+		s.onServerEvent(ServerEvent{Kind: ServerOverCap, Server: v.info.ID, Service: v.info.Service})
+	}
 }
 
 // Cancelled records that the caller cancelled a request. A request that already took longer than
--- a/internal/selector/serverevent.go
+++ b/internal/selector/serverevent.go
@@ -30,6 +30,8 @@
 	ServerUnlimited // unlimited
 	// ServerReplaced means that another server replied at the server's address.
 	ServerReplaced // replaced
+	// ServerOverCap means that the server reset a new connection, because it accepts no more.
+	ServerOverCap // over_cap
 )
 
 // ServerEvent is a change of the state in which this host sees a server.
--- a/internal/selector/servereventkind_enumer.go
+++ b/internal/selector/servereventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplaced"
+const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_cap"
 
-var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59, 67}
+var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59, 67, 75}
 
-const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplaced"
+const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_cap"
 
 func (i ServerEventKind) String() string {
 	if i >= ServerEventKind(len(_ServerEventKindIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[ServerLimited-6]
 	_ = x[ServerUnlimited-7]
 	_ = x[ServerReplaced-8]
+	_ = x[ServerOverCap-9]
 }
 
-var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited, ServerReplaced}
+var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited, ServerReplaced, ServerOverCap}
 
 var _ServerEventKindNameToValueMap = map[string]ServerEventKind{
 	_ServerEventKindName[0:11]:  ServerUnreachable,
@@ -47,6 +48,7 @@
 	_ServerEventKindName[43:50]: ServerLimited,
 	_ServerEventKindName[50:59]: ServerUnlimited,
 	_ServerEventKindName[59:67]: ServerReplaced,
+	_ServerEventKindName[67:75]: ServerOverCap,
 }
 
 var _ServerEventKindLowerNameToValueMap = map[string]ServerEventKind{
@@ -59,6 +61,7 @@
 	_ServerEventKindLowerName[43:50]: ServerLimited,
 	_ServerEventKindLowerName[50:59]: ServerUnlimited,
 	_ServerEventKindLowerName[59:67]: ServerReplaced,
+	_ServerEventKindLowerName[67:75]: ServerOverCap,
 }
 
 var _ServerEventKindNames = []string{
@@ -71,6 +74,7 @@
 	_ServerEventKindName[43:50],
 	_ServerEventKindName[50:59],
 	_ServerEventKindName[59:67],
+	_ServerEventKindName[67:75],
 }
 
 // ServerEventKindString retrieves an enum value from the enum constants string name.
