Connections above a lowered limit are not kept after their request

An owner that lost its services while requests were in progress kept their connections as idle ones, beside those of the next owner. A reset during the opening of a connection counts as one over the cap, too (seen: a test failed once, 'connect: connection reset by peer').

Tests: TestConnectionInUseIsClosedAboveALowerLimit (fails before); TestConnectionIsOpenedAgainAfterAPause, 20 runs with -race.

--- a/internal/sender/overcap_test.go
+++ b/internal/sender/overcap_test.go
@@ -104,7 +104,7 @@
 	assert.NilError(t, err)
 	results := make(chan error, 20)
 	for range cap(results) {
-		go (&simultaneous{s, server.destination(), results}).run()
+		go (&simultaneous{s, server.destination(), "a", results}).run()
 	}
 	lost := 0
 	for range cap(results) {
@@ -121,11 +121,12 @@
 type simultaneous struct {
 	sender  *sender.Sender
 	to      sender.Destination
+	id      string
 	results chan error
 }
 
 func (r *simultaneous) run() {
-	_, err := send(r.sender, r.to, "a", time.Second)
+	_, err := send(r.sender, r.to, r.id, time.Second)
 	r.results <- err
 }
 
@@ -146,3 +147,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, opened, 2)
 }
+
+// TestConnectionInUseIsClosedAboveALowerLimit lowers the limit while a request is in progress. Its
+// connection is not kept.
+func TestConnectionInUseIsClosedAboveALowerLimit(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	server := newFakeServer(t, func(c net.Conn, _ int, r *http.Request) {
+		if r.Header.Get("Request") == "slow" {
+			close(started)
+			<-finish
+		}
+		reply(c, r.Header.Get("Request"), "ok")
+	})
+	s := newSender(t)
+	results := make(chan error, 1)
+	go (&simultaneous{s, server.destination(), "slow", results}).run()
+	<-started
+	s.Trim(server.destination().Address, 0)
+	close(finish)
+	assert.NilError(t, <-results)
+	opened, err := s.Warm(context.Background(), server.destination(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, opened, 1, "the former connection was not kept")
+}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -56,7 +56,9 @@
 	server   encoder.ServerID
 	isClosed bool
 	open     int
-	idle     []*connection
+	// limit is the number of open connections above which none is kept for later requests.
+	limit int
+	idle  []*connection
 	// freed is closed and replaced when a connection becomes idle or ends.
 	freed chan struct{}
 	// resets counts the new connections that were reset since one was used. No further one is opened
@@ -94,7 +96,7 @@
 	if p.isClosed {
 		return nil, false, nil, errServerLeft
 	}
-	p.server = to.ID
+	p.server, p.limit = to.ID, max(1, to.Connections)
 	now := p.sender.clock.Now()
 	for len(p.idle) > 0 {
 		c = p.idle[len(p.idle)-1]
@@ -109,7 +111,7 @@
 	switch {
 	case isPaused && p.open == 0:
 		return nil, false, nil, ErrOverCap
-	case !isPaused && p.open < max(1, to.Connections):
+	case !isPaused && p.open < p.limit:
 		p.open++
 		return nil, true, nil, nil
 	default:
@@ -121,6 +123,7 @@
 func (p *pool) dial(ctx context.Context) (*connection, error) {
 	socket, err := p.sender.open(ctx, p.address)
 	if err != nil {
+		err = p.observeReset(err)
 		p.release(nil, false)
 		return nil, err
 	}
@@ -129,29 +132,35 @@
 	return &connection{socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter, isNew: true}, nil
 }
 
-// observe evaluates the error of an exchange, or its success. If a new connection was reset, it adds
-// ErrOverCap to the error and pauses the opening of others, for a time that doubles with each of them. If
-// a reply was read from a new connection, the server accepts connections again.
+// observe evaluates the error of an exchange, or its success. If a reply was read from a new connection,
+// the server accepts connections again.
 func (p *pool) observe(c *connection, err error) error {
-	if !c.isNew {
+	switch {
+	case !c.isNew:
 		return err
+	case err != nil:
+		return p.observeReset(err)
 	}
+	c.isNew = false
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	switch {
-	case err == nil:
-		c.isNew = false
-		p.resets, p.pausedUntil = 0, time.Time{}
-		return nil
-	case errors.Is(err, syscall.ECONNRESET):
-		p.sender.overCap.Inc(1)
-		pause := min(maxPause, initialPause<<min(p.resets, maxPauseShift))
-		p.resets++
-		p.pausedUntil = p.sender.clock.Now().Add(pause)
-		return fmt.Errorf("%w: %w", err, ErrOverCap)
-	default:
+	p.resets, p.pausedUntil = 0, time.Time{}
+	return nil
+}
+
+// observeReset evaluates the error of a new connection. If the server has reset it, it adds ErrOverCap to
+// the error and pauses the opening of others, for a time that doubles with each of them.
+func (p *pool) observeReset(err error) error {
+	if !errors.Is(err, syscall.ECONNRESET) {
 		return err
 	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.sender.overCap.Inc(1)
+	pause := min(maxPause, initialPause<<min(p.resets, maxPauseShift))
+	p.resets++
+	p.pausedUntil = p.sender.clock.Now().Add(pause)
+	return fmt.Errorf("%w: %w", err, ErrOverCap)
 }
 
 // release returns a connection to the pool, or closes it if keep is false or the pool is closed.
@@ -159,7 +168,7 @@
 func (p *pool) release(c *connection, keep bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if keep && !p.isClosed {
+	if keep && !p.isClosed && p.open <= p.limit {
 		p.idle = append(p.idle, c)
 	} else {
 		p.open--
@@ -191,6 +200,7 @@
 func (p *pool) trim(connections int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.limit = connections
 	for p.open > connections && len(p.idle) > 0 {
 		_ = p.idle[0].socket.Close()
 		p.idle = p.idle[1:]
@@ -241,7 +251,7 @@
 	if p.isClosed || p.open >= min(wanted, max(1, to.Connections)) || p.sender.clock.Now().Before(p.pausedUntil) {
 		return false
 	}
-	p.server = to.ID
+	p.server, p.limit = to.ID, max(1, to.Connections)
 	p.open++
 	return true
 }
