A dock whose links to the keepers failed without a sign is soon no longer an owner

Cause: the leading keeper listed a dock until its link broke or for 10 s after its last watch, and each wake-up of a watch that was still open counted as one.

Change: a dock that sends no watch for a second longer than its watches wait (2 s) is taken off the lists, which are sent at once. Not if it is more than half of the docks (then the keeper may be cut off), and not after the keeper was paused. It stays counted for budgets and connections.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -14,6 +14,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/limiter"
 	"banyandock.example/banyandock/internal/locator"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -22,6 +23,8 @@
 	// evaluated. If they were evaluated at every notice, a hundred docks would be woken a hundred
 	// times a second.
 	sweepInterval = 250 * time.Millisecond
+	// pauseTime is the time between two sweeps from which this keeper counts as paused in between.
+	pauseTime = time.Second
 	// maxChanges bounds the changes that are kept for docks that lag behind. A dock that lags
 	// further gets the whole directory.
 	maxChanges = 4096
@@ -130,17 +133,37 @@
 	defer b.tasks.Done()
 	ticker := b.clock.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	lastSweep := b.clock.Now()
 	for {
 		select {
 		case <-b.stop:
 			return
 		case <-ticker.C:
+			b.sweepDocks(lastSweep)
+			lastSweep = b.clock.Now()
 			b.update(func(now time.Time) []encoder.Registration { return b.directory.Sweep(now) })
 			b.evaluateObservations()
 		}
 	}
 }
 
+// sweepDocks removes silent docks from the lists that other docks send requests by. The lists change at
+// once.
+func (b *Broadcaster) sweepDocks(lastSweep time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.clock.Now()
+	if now.Sub(lastSweep) > pauseTime {
+		b.docks.resumeWatches(now)
+		return
+	}
+	if n := b.docks.markSilent(now); n > 0 {
+		b.detachedAt = now
+		b.hasDetachChanged = true
+		b.log.Info().Int(recorder.FieldCount, n).Msg(recorder.EventDocksSilent)
+	}
+}
+
 // RecordHeartbeat records a server's heartbeat and returns the registrations that it changed.
 func (b *Broadcaster) RecordHeartbeat(r encoder.Registration) []encoder.Registration {
 	return b.update(func(now time.Time) []encoder.Registration { return b.directory.RecordHeartbeat(now, r) })
--- a/internal/broadcaster/detach_test.go
+++ b/internal/broadcaster/detach_test.go
@@ -14,7 +14,7 @@
 // change nothing, and that a dock that has started anew is attached.
 func TestLateNoticeDetachesADock(t *testing.T) {
 	s := newDockSet()
-	s.recordWatch(time.Unix(100, 0), "a", testDock("a", "one"))
+	s.recordWatch(time.Unix(100, 0), "a", testDock("a", "one"), 2*time.Second)
 	assert.Assert(t, !s.setDetached("b", 1, true))
 	assert.Assert(t, s.setDetached("a", 1, true))
 	assert.Assert(t, s.setDetached("a", 2, false))
@@ -34,7 +34,7 @@
 	const docks = 200
 	for i := range docks {
 		host := fmt.Sprintf("dock-%d", i)
-		s.recordWatch(time.Unix(100, 0), identifier.HostName(host), testDock(host, fmt.Sprint(i%3)))
+		s.recordWatch(time.Unix(100, 0), identifier.HostName(host), testDock(host, fmt.Sprint(i%3)), 2*time.Second)
 		s.setDetached(identifier.HostName(host), 1, i < docks/2)
 	}
 	counts := map[identifier.HostName]int{}
--- a/internal/broadcaster/docks.go
+++ b/internal/broadcaster/docks.go
@@ -14,6 +14,9 @@
 const (
 	// dockTimeout is how long a dock is counted after its last watch, in addition to maxWait.
 	dockTimeout = 5 * time.Second
+	// silentSlack is how much longer than its watch waits a dock may be silent before it is no longer
+	// listed.
+	silentSlack = time.Second
 	// maxRelays bounds the docks to which one dock is told to hand requests over. There are enough of
 	// them for the load to spread, and for some to remain if others are cut off too.
 	maxRelays = 32
@@ -31,8 +34,10 @@
 type watchingDock struct {
 	dock      encoder.Dock
 	lastWatch time.Time
-	// isDisconnected is set when the dock's watch broke off. The dock is still counted until it
-	// times out.
+	// wait is how long the dock's watches wait for changes.
+	wait time.Duration
+	// isDisconnected is set when the dock's watch broke off or the dock has been silent. It is still
+	// counted until it times out.
 	isDisconnected bool
 	// isDetached is set while the dock has lost its links to all backend servers. detachVersion is the
 	// dock's version of that.
@@ -51,8 +56,8 @@
 	return &dockSet{docks: map[identifier.HostName]*watchingDock{}, lists: map[identifier.DomainName]dockList{}}
 }
 
-// recordWatch records that a dock has sent a watch request.
-func (s *dockSet) recordWatch(now time.Time, host identifier.HostName, dock encoder.Dock) {
+// recordWatch records that a dock has sent a watch request that waits at most wait.
+func (s *dockSet) recordWatch(now time.Time, host identifier.HostName, dock encoder.Dock, wait time.Duration) {
 	w := s.docks[host]
 	if w == nil {
 		w = &watchingDock{isDisconnected: true}
@@ -62,7 +67,38 @@
 		delete(s.lists, w.dock.Domain)
 		delete(s.lists, dock.Domain)
 	}
-	w.dock, w.lastWatch, w.isDisconnected = dock, now, false
+	w.dock, w.lastWatch, w.wait, w.isDisconnected = dock, now, wait, false
+}
+
+// markSilent records that docks were silent for longer than their watches wait, because their links to
+// this keeper have failed without a sign. It returns their number. If they are more than half of the
+// listed docks, this keeper's own links may have failed instead, and nothing is recorded.
+func (s *dockSet) markSilent(now time.Time) int {
+	usable, silent := 0, []identifier.HostName{}
+	for host, w := range s.docks {
+		if !w.isUsable() {
+			continue
+		}
+		usable++
+		if now.Sub(w.lastWatch) > w.wait+silentSlack {
+			silent = append(silent, host)
+		}
+	}
+	if 2*len(silent) > usable {
+		return 0
+	}
+	for _, host := range silent {
+		s.markDisconnected(host)
+	}
+	return len(silent)
+}
+
+// resumeWatches counts the present as the time of the last watch of all docks, because this keeper was
+// paused and could receive none.
+func (s *dockSet) resumeWatches(now time.Time) {
+	for _, w := range s.docks {
+		w.lastWatch = now
+	}
 }
 
 // markDisconnected records that a dock's watch broke off.
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -17,7 +17,7 @@
 	defer timer.Stop()
 	isDue, isBatching := false, false
 	for {
-		reply, kind, wakeups := b.prepareReply(dock, request)
+		reply, kind, wakeups := b.prepareReply(request)
 		if isDue || kind == updateUrgent {
 			return reply
 		}
@@ -46,7 +46,7 @@
 func (b *Broadcaster) beginWatch(dock identifier.HostName, request encoder.WatchRequest) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.docks.recordWatch(b.clock.Now(), dock, request.Dock)
+	b.docks.recordWatch(b.clock.Now(), dock, request.Dock, min(request.Wait, maxWait))
 	b.setDetached(dock, request.DetachVersion, request.IsDetached)
 }
 
@@ -71,14 +71,13 @@
 
 // prepareReply returns the reply to a watch request, what kind of update the reply contains, and
 // the channels to wait on for the next one.
-func (b *Broadcaster) prepareReply(dock identifier.HostName, request encoder.WatchRequest) (encoder.WatchReply, updateKind, wakeChannels) {
+func (b *Broadcaster) prepareReply(request encoder.WatchRequest) (encoder.WatchReply, updateKind, wakeChannels) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	// The channels are read before the keeper's state, so that a change in between is noticed.
 	wakeups := b.wakeups
 	s := b.keeperState()
 	now := b.clock.Now()
-	b.docks.recordWatch(now, dock, request.Dock)
 	reply := b.newReply(s, request, now)
 	b.addDocks(&reply, request, now)
 	b.addServers(&reply, request, now)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -32,6 +32,9 @@
 	// that it has them again.
 	EventDetached = "cut off from the servers"
 	EventAttached = "servers reachable again"
+	// EventDocksSilent reports that docks were silent for longer than their watches wait, so that other
+	// docks no longer send requests to them.
+	EventDocksSilent = "docks silent"
 	// EventDetachNotSent reports that a keeper was not told that this dock is cut off, or no longer is.
 	EventDetachNotSent = "cut not reported"
 	// EventTokensFailed reports that the leading keeper did not answer a dock's request for tokens.
