Shards whose owner knows no server of them are sent to by another dock

Change: an owner tells which shards it knows no server of. If the dock that delegated them knows one, it passes these shards on to the next sender, or sends itself if it may. Nothing has run, so neither the route's runs nor the repeat budget are charged.

Owners of older releases do not tell, as before.

--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -71,4 +71,6 @@
 	Stamp string `msgpack:"s,omitempty"`
 	// HasRun is true if a backend server may have run the request.
 	HasRun bool `msgpack:"u,omitempty"`
+	// IsUnknown is true if the dock knows no server of the shard, so that another dock may help.
+	IsUnknown bool `msgpack:"k,omitempty"`
 }
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -268,11 +268,16 @@
 	d.lastReplyElapsed = now.Sub(q.request.Arrived)
 	d.isDone = reply.reply.IsDone
 	rows := reply.reply.Rows
+	unknown := []identifier.ServiceName{}
 	for _, p := range reply.reply.Parts {
 		if !d.pending[p.Index] {
 			continue
 		}
 		delete(d.pending, p.Index)
+		if p.IsUnknown && q.forwarder.selector.Knows(d.services[p.Index]) {
+			unknown = append(unknown, d.services[p.Index])
+			continue
+		}
 		d.hasRun = d.hasRun || p.HasRun || p.Stamp != ""
 		part := result{service: d.services[p.Index], reason: ReasonLost, hasRun: p.HasRun}
 		if p.Stamp != "" {
@@ -284,6 +289,13 @@
 			return o
 		}
 	}
+	if len(unknown) > 0 {
+		// The sender's directory is older than this dock's.
+		q.forwarder.owners.markSuspect(now, d.dock)
+		if o := q.reroute(now, d, unknown, d.earlierRuns); o != nil {
+			return o
+		}
+	}
 	if reply.reply.IsDone {
 		return q.endDelegation(d)
 	}
@@ -413,39 +425,43 @@
 	return q.redirect(now, d, d.earlierRuns+1)
 }
 
-// redirect ends a delegation and sends the request to its services in another way: directly if this dock
-// may, or through the next sender. Runs is the number of the route's runs that senders may have used; if
-// there are any, the caller has charged the repeat budget. It returns the outcome, or nil if the query
-// goes on.
+// redirect ends a delegation and sends the request to its services in another way, as reroute does.
 func (q *query) redirect(now time.Time, d *delegation, runs int) Outcome {
 	d.isOver = true
-	if len(d.services) == 0 {
+	return q.reroute(now, d, d.services, runs)
+}
+
+// reroute sends the request to services of a delegation in another way: directly if this dock may, or
+// through the next sender. Runs is the number of the route's runs that senders may have used; if there are
+// any, the caller has charged the repeat budget. It returns the outcome, or nil if the query goes on.
+func (q *query) reroute(now time.Time, d *delegation, services []identifier.ServiceName, runs int) Outcome {
+	if len(services) == 0 {
 		return nil
 	}
-	if q.maySend(d.services) {
-		return q.sendDirectly(now, d, runs)
+	if q.maySend(services) {
+		return q.sendDirectly(now, services, runs)
 	}
-	g := assigner.Group{Services: d.services, Senders: d.group.Senders}
+	g := assigner.Group{Services: services, Senders: d.group.Senders}
 	dock, kind := q.forwarder.owners.choose(now, g, d.tried, false)
 	if kind != sendDelegated {
-		return q.failRedirected(now, d, runs)
+		return q.failRerouted(now, services, runs)
 	}
 	next := q.newDelegation(now, dock, g, d.tried)
 	next.earlierRuns = runs
 	if next.attempts() <= 0 {
-		return q.failRedirected(now, d, runs)
+		return q.failRerouted(now, services, runs)
 	}
 	q.startDelegation(next)
 	return nil
 }
 
-// failRedirected ends services that no other sender can be asked for, and returns what was charged to the
+// failRerouted ends services that no other sender can be asked for, and returns what was charged to the
 // repeat budget. It returns the outcome, or nil if the query goes on.
-func (q *query) failRedirected(now time.Time, d *delegation, runs int) Outcome {
+func (q *query) failRerouted(now time.Time, services []identifier.ServiceName, runs int) Outcome {
 	if runs == 0 {
-		return q.failUnsent(d.services)
+		return q.failUnsent(services)
 	}
-	for _, s := range d.services {
+	for _, s := range services {
 		q.forwarder.selector.ReturnRepeat(now, s)
 		if o := q.collector.addResult(result{service: s, reason: ReasonNoSender, hasRun: true}); o != nil {
 			return o
@@ -454,14 +470,14 @@
 	return nil
 }
 
-// sendDirectly sends the request to a server of each shard of a group. It reserves the runs of the route
+// sendDirectly sends the request to a server of each of some services. It reserves the runs of the route
 // that senders may have used. The caller has charged the repeat budget if there are any.
-func (q *query) sendDirectly(now time.Time, d *delegation, runs int) Outcome {
+func (q *query) sendDirectly(now time.Time, services []identifier.ServiceName, runs int) Outcome {
 	if runs == 0 {
-		return q.start(d.services)
+		return q.start(services)
 	}
 	latency := q.forwarder.latency(q.route.Name)
-	for _, s := range d.services {
+	for _, s := range services {
 		j := newJob(q, s, latency)
 		j.maxRuns -= runs
 		j.isReplacement = true
--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -84,6 +84,27 @@
 	assert.Equal(t, c.totalRequests(), 0)
 }
 
+// TestOwnerThatMissedNewServersIsPassedOver has a new index whose servers no owner knows, because the owners
+// are cut off from the keepers. The answers of the other docks are complete all the same, and no shard runs
+// a request twice.
+func TestOwnerThatMissedNewServersIsPassedOver(t *testing.T) {
+	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	others := []*forwarder.Forwarder{}
+	for _, f := range c.docks {
+		if len(f.ConnectionTargets(time.Now())) > 0 {
+			f.UpdateServers(nil)
+		} else {
+			others = append(others, f)
+		}
+	}
+	assert.Equal(t, len(others), 4)
+	for _, f := range others {
+		c.forwarder = f
+		c.getComplete()
+	}
+	assert.Equal(t, c.totalRequests(), 4*ownedShards)
+}
+
 // ordersTable returns a configuration whose only route leads to the single service orders.
 func (c *cluster) ordersTable() *matcher.Table {
 	c.t.Helper()
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -185,6 +185,13 @@
 	return false
 }
 
+// Knows reports whether any server of a service is known.
+func (s *Selector) Knows(service identifier.ServiceName) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.services[service]) > 0
+}
+
 // Choose returns the server of a service with the lowest score, leaving out the excluded ones and
 // those that lack a token of their limit. It returns false if there is none.
 func (s *Selector) Choose(now time.Time, service identifier.ServiceName, excluded []encoder.ServerID) (Target, bool) {
