--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -21,9 +21,9 @@
 
 // newLargeCluster returns a cluster whose docks are part of a fleet of manyDocks. Each group of ten shards
 // has two senders.
-func newLargeCluster(t *testing.T, special map[int]handler, r matcher.Route) *cluster {
+func newLargeCluster(t *testing.T, r matcher.Route) *cluster {
 	t.Helper()
-	c := newCluster(t, special, r)
+	c := newCluster(t, nil, r)
 	for _, d := range c.docks {
 		d.SetDocks(manyDocks, manyDomains)
 	}
@@ -33,7 +33,7 @@
 // TestDockThatMayNotConnectUsesTheNextSender lets the links to the first senders fail in turn. No shard is
 // asked by more docks than the senders of its group.
 func TestDockThatMayNotConnectUsesTheNextSender(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	c.getComplete()
 	c.refuseFirst(1)
 	c.getComplete()
@@ -43,7 +43,7 @@
 // TestRequestThatNoSenderTakesIsRefusedAtOnce lets all links of a dock fail that is no sender. It has
 // neither asked the servers itself nor left the caller in doubt.
 func TestRequestThatNoSenderTakesIsRefusedAtOnce(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
 	t.Cleanup(f.Close)
 	f.SetDocks(manyDocks, manyDomains)
@@ -62,7 +62,7 @@
 // TestSilentSenderIsReplacedByTheNext loses the requests to the first sender. The second one answers in
 // time, and no shard runs the request more often than the route allows.
 func TestSilentSenderIsReplacedByTheNext(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, 300*time.Millisecond))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, 300*time.Millisecond))
 	c.blackholeFirst()
 	began := time.Now()
 	c.getComplete()
@@ -72,7 +72,7 @@
 
 // TestDockWithoutAListOfDocksDoesNotConnect has a dock that knows how many docks there are and not which.
 func TestDockWithoutAListOfDocksDoesNotConnect(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
 	t.Cleanup(f.Close)
 	f.SetDocks(manyDocks, manyDomains)
@@ -88,7 +88,7 @@
 // are cut off from the keepers. The answers of the other docks are complete all the same, and no shard runs
 // a request twice.
 func TestOwnerThatMissedNewServersIsPassedOver(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	others := []*forwarder.Forwarder{}
 	for _, f := range c.docks {
 		if len(f.ConnectionTargets(time.Now())) > 0 {
@@ -124,7 +124,7 @@
 // servers accept fewer connections than there are docks. Only senders send to them, and each request runs
 // once.
 func TestSingleServiceIsReachedThroughItsSenders(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	c.addServer("orders", "orders-a", answers("ordered"))
 	senders := 0
 	for _, f := range c.docks {
@@ -145,7 +145,7 @@
 // TestDockThatLostItsRankPassesTheRequestOn hands a request over to a dock that no longer sends to the
 // service. The next sender answers.
 func TestDockThatLostItsRankPassesTheRequestOn(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	c.addServer("orders", "orders-a", answers("ordered"))
 	owner := -1
 	for i, f := range c.docks {
@@ -169,7 +169,7 @@
 
 // TestServiceWithoutServersIsRefusedByTheFirstDock has no server of a service that needs senders.
 func TestServiceWithoutServersIsRefusedByTheFirstDock(t *testing.T) {
-	c := newLargeCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	for _, f := range c.docks {
 		f.Configure(c.ordersTable())
 		c.forwarder = f
