Limits in the settings of a routed deployment may be fractions

A platform that derives a deployment's limits from another's fills in fractions, and its pages allow them.

Change: repeat_slack and memory_limit_mb accept fractions, rounded down.

--- a/internal/settingsreader/route.go
+++ b/internal/settingsreader/route.go
@@ -36,7 +36,7 @@
 	Seeds []netip.AddrPort
 	// KeeperLinkPort is the port on which every keeper accepts links.
 	KeeperLinkPort uint16
-	// MemoryLimitMB is the memory in MB that the process may use.
+	// MemoryLimitMB is the memory in MB that the process may use, rounded down.
 	MemoryLimitMB int
 }
 
@@ -50,7 +50,7 @@
 	// LinkAddress is where other docks connect. It is not valid for a dock that sends requests to
 	// all shards itself.
 	LinkAddress netip.AddrPort
-	// RepeatRatio and RepeatSlack limit the retries and hedges that all docks together send to a
+	// RepeatRatio and RepeatSlack, which is rounded down, limit the retries and hedges that all docks together send to a
 	// service within any RepeatWindow.
 	RepeatRatio  float64
 	RepeatSlack  int
@@ -106,7 +106,7 @@
 		Common:         readCommon(t),
 		Seeds:          tomlreader.Required(t, "seeds", tomlreader.List(maxSeeds, tomlreader.Address)),
 		KeeperLinkPort: uint16(tomlreader.Required(t, "keeper_link_port", tomlreader.Integer(1, 65535))),
-		MemoryLimitMB:  int(tomlreader.Optional(t, "memory_limit_mb", 0, tomlreader.Integer(0, maxMemory))),
+		MemoryLimitMB:  int(tomlreader.Optional(t, "memory_limit_mb", 0, tomlreader.Number(0, maxMemory))),
 	}
 }
 
@@ -125,7 +125,7 @@
 		ReadinessAddress: tomlreader.Required(t, "readiness_address", tomlreader.Address),
 		LinkAddress:      tomlreader.Optional(t, "link_address", netip.AddrPort{}, tomlreader.Address),
 		RepeatRatio:      tomlreader.Required(t, "repeat_ratio", tomlreader.Number(0, 1)),
-		RepeatSlack:      int(tomlreader.Required(t, "repeat_slack", tomlreader.Integer(0, maxBudgetSlack))),
+		RepeatSlack:      int(tomlreader.Required(t, "repeat_slack", tomlreader.Number(0, maxBudgetSlack))),
 		RepeatWindow:     tomlreader.Optional(t, "repeat_window", defaultRepeatWindow, tomlreader.Duration(time.Second, maxRepeatWindow)),
 		DrainGrace:       tomlreader.Optional(t, "drain_grace", defaultDrainGrace, tomlreader.Duration(0, maxDrainGrace)),
 		FinishTimeout:    tomlreader.Optional(t, "finish_timeout", defaultFinishTimeout, tomlreader.Duration(0, maxFinishTimeout)),
