A dock that may no longer connect to servers does not take them for down

Found by reading: since servers stay down until a probe reaches them, a former sender, which does not probe them, would have refused queries for good whose coverage needs them.

Test: TestFormerSenderDoesNotTakeServersForDown (fails before).

--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -173,12 +173,14 @@
 	IsBusy bool
 }
 
-// HasReachable reports whether a service has a server that is not known to be unreachable.
+// HasReachable reports whether a service has a server that is not known to be unreachable. A host that may
+// not connect to the servers cannot tell, and counts them as reachable.
 func (s *Selector) HasReachable(service identifier.ServiceName, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	canTell := s.connectionsTo(service) > 0
 	for _, v := range s.services[service] {
-		if !v.isUnreachable(now) {
+		if !canTell || !v.isUnreachable(now) {
 			return true
 		}
 	}
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"banyandock.example/banyandock/internal/allotter"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -307,3 +308,21 @@
 	s.OverCap(start.Add(6*time.Second), s.Begin(start, "full", usual), false)
 	assert.Equal(t, events, 2)
 }
+
+// TestFormerSenderDoesNotTakeServersForDown has a host that found all servers of a service down, and then
+// lost its rank, so that it does not find out when they are back.
+func TestFormerSenderDoesNotTakeServersForDown(t *testing.T) {
+	s := newSelector(servers("a"))
+	s.SetServices(map[identifier.ServiceName]int{"plates": 20})
+	s.SetDocks(200, 2)
+	s.SetOwnership(selector.Ownership{Ranks: map[identifier.ServiceName]int{"plates": 0}})
+	s.Lost(start, s.Begin(start, "a", usual), true)
+	s.Lost(start, s.Begin(start, "a", usual), true)
+	assert.Assert(t, !s.HasReachable("plates", start))
+	s.SetOwnership(selector.Ownership{Ranks: map[identifier.ServiceName]int{"plates": allotter.NoRank}})
+	assert.Assert(t, s.HasReachable("plates", start))
+	assert.Equal(t, len(s.DueProbes(start.Add(time.Second), 5)), 0)
+	s.SetOwnership(selector.Ownership{Ranks: map[identifier.ServiceName]int{"plates": 1}})
+	assert.Assert(t, !s.HasReachable("plates", start.Add(2*time.Second)))
+	assert.Equal(t, len(s.DueProbes(start.Add(2*time.Second), 5)), 1)
+}
