--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -93,14 +93,16 @@
 // deployment is a running deployment with its network and its backend servers.
 type deployment struct {
 	// Set at creation.
-	folder      string
-	programs    string
-	secondOctet int
-	thirdOctet  int
-	layout      layout
-	network     *network
-	history     *history
-	client      *http.Client
+	folder   string
+	programs string
+	// otherPrograms is the folder with the programs of every other host, or empty if all run the same.
+	otherPrograms string
+	secondOctet   int
+	thirdOctet    int
+	layout        layout
+	network       *network
+	history       *history
+	client        *http.Client
 	// processes is keyed by host number: keepers are numbered from 1, docks follow them.
 	processes map[int]*process
 
@@ -120,6 +122,8 @@
 	d := &deployment{
 		layout: l, folder: folder, programs: programs, secondOctet: secondOctet, thirdOctet: thirdOctet, history: newHistory(),
 		client: &http.Client{Timeout: callTimeout}, processes: map[int]*process{},
+
+		otherPrograms: *otherProgramsFlag,
 	}
 	d.network = newNetwork(d.hostOf)
 	for host := 1; host <= keeperCount+dockCount; host++ {
@@ -179,7 +183,7 @@
 		}
 	}
 	p := &process{
-		program:  filepath.Join(d.programs, program),
+		program:  filepath.Join(d.programsOf(host), program),
 		settings: filepath.Join(d.folder, fmt.Sprintf("%s-%d.toml", program, host)),
 		log:      filepath.Join(d.folder, fmt.Sprintf("%s-%d.log", program, host)),
 	}
@@ -190,6 +194,14 @@
 	return p.start()
 }
 
+// programsOf returns the folder with the programs that a host runs.
+func (d *deployment) programsOf(host int) string {
+	if d.otherPrograms != "" && host%2 == 0 {
+		return d.otherPrograms
+	}
+	return d.programs
+}
+
 // dataFolder returns the path of a keeper's data folder.
 func (d *deployment) dataFolder(host int) string {
 	return filepath.Join(d.folder, fmt.Sprintf("data-%d", host))
