--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -53,16 +53,6 @@
 	return slices.DeleteFunc(slices.Clone(report.Crashes), isOther)
 }
 
-// executions returns how many requests arrived at all servers.
-func (d *deployment) executions() int {
-	sum := 0
-	for _, s := range d.servers {
-		n, _ := s.count()
-		sum += n
-	}
-	return sum
-}
-
 func TestCrashesAreReportedAndQuarantinedRequestIsRefused(t *testing.T) {
 	d := newCrashingDeployment(t, "a", "b")
 	d.get()
@@ -179,7 +169,7 @@
 	expect[forwarder.Refused](t, send(3))
 	expect[forwarder.Refused](t, d.sendTo(context.Background(), "GET", "/x/y", "", time.Second))
 	// The third crash is noticed before or after the second request is sent to its second server.
-	assert.Assert(t, d.executions() <= 4, "%d executions", d.executions())
+	assert.Assert(t, d.totalRequests() <= 4, "%d executions", d.totalRequests())
 }
 
 // crashingShards is the number of shards of the tests below. Each shard has two servers.
@@ -211,13 +201,13 @@
 func TestScatteredRequestCrashesAllServersOfAllShards(t *testing.T) {
 	d := newScatteredDeployment(t, crashesServer, crashesServer)
 	expect[forwarder.Failed](t, d.get())
-	assert.Equal(t, d.executions(), crashingShards+1, "one repeat shows that the request is the cause")
+	assert.Equal(t, d.totalRequests(), crashingShards+1, "one repeat shows that the request is the cause")
 	waitFor(t, func() bool {
 		report, _ := d.forwarder.CrashReport()
 		return len(report.Quarantines) == 2
 	})
 	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonQuarantined)
-	assert.Equal(t, d.executions(), crashingShards+1)
+	assert.Equal(t, d.totalRequests(), crashingShards+1)
 }
 
 // TestHarmlessRequestIsAnsweredAfterAllItsServersCrashed replays servers that fail together while a
@@ -226,7 +216,7 @@
 	d := newScatteredDeployment(t, crashesServer, answers(record(1)))
 	g := expect[forwarder.Gathered](t, d.get())
 	assert.Equal(t, g.Missing, 0)
-	assert.Equal(t, d.executions(), 2*crashingShards)
+	assert.Equal(t, d.totalRequests(), 2*crashingShards)
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, len(d.crashes()), 0)
 }
@@ -256,7 +246,7 @@
 	waitFor(t, func() bool { return len(other.crashes()) == 1 })
 	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: other.crashes()[0].Fingerprint}})
 	expect[forwarder.Failed](t, d.get())
-	assert.Equal(t, d.executions(), 1)
+	assert.Equal(t, d.totalRequests(), 1)
 }
 
 // TestOwnerRunsAQuarantinedRequest guards against an owner that trusts a dock which does not know of
@@ -274,7 +264,7 @@
 		assert.Equal(t, part.Stamp, "")
 		assert.Assert(t, !part.HasRun)
 	}
-	assert.Equal(t, d.executions(), 0)
+	assert.Equal(t, d.totalRequests(), 0)
 }
 
 func TestSuspectRequestThatIsAnsweredRunsOnAllShards(t *testing.T) {
@@ -285,7 +275,7 @@
 	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: other.crashes()[0].Fingerprint}})
 	g := expect[forwarder.Gathered](t, d.get())
 	assert.Equal(t, g.Missing, 0)
-	assert.Equal(t, d.executions(), crashingShards)
+	assert.Equal(t, d.totalRequests(), crashingShards)
 }
 
 func TestCrashIsMissedWhileAnotherRequestRuns(t *testing.T) {
@@ -397,7 +387,7 @@
 		d.forwarder = dock
 		d.get()
 	}
-	assert.Equal(t, d.executions(), 2)
+	assert.Equal(t, d.totalRequests(), 2)
 	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonSuspected)
 }
 
@@ -428,7 +418,7 @@
 	began := time.Now()
 	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonSuspected)
 	assert.Assert(t, time.Since(began) < 100*time.Millisecond)
-	assert.Equal(t, d.executions(), 0)
+	assert.Equal(t, d.totalRequests(), 0)
 }
 
 // TestInnocentRequestIsRefusedWhileOneShardIsDown guards against a request that is refused because the shard
@@ -475,7 +465,7 @@
 		d := newScatteredDeployment(t, crashesServer, crashesServer)
 		d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: s}})
 		expect[forwarder.Failed](t, d.get())
-		assert.Equal(t, d.executions(), 1)
+		assert.Equal(t, d.totalRequests(), 1)
 		a, _ := d.servers[encoder.ServerID(string(s)+"a")].count()
 		b, _ := d.servers[encoder.ServerID(string(s)+"b")].count()
 		assert.Equal(t, a+b, 1)
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -10,7 +10,6 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
-	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 )
 
@@ -318,30 +317,6 @@
 	}
 }
 
-// awaitRefusals waits at most linkRoundTrip for the senders that have not replied yet, which may all refuse
-// the request, as long as nothing is known to have run.
-func (q *query) awaitRefusals() {
-	timer := q.forwarder.clock.NewTimer(linkRoundTrip)
-	defer timer.Stop()
-	for !q.isKnownToHaveRun() && slices.ContainsFunc(q.delegations, (*delegation).isAwaited) {
-		select {
-		case r := <-q.replies:
-			r.delegation.endUnused(r)
-		case <-timer.C:
-			return
-		}
-	}
-}
-
-// endUnused ends a delegation whose parts are no longer of use.
-func (d *delegation) endUnused(r delegationReply) {
-	d.isOver = true
-	d.hasRun = d.hasRun || r.err == nil
-	if isRefusal(r.err) {
-		d.ownerFailure = ownerFailureRefused
-	}
-}
-
 // isRefusal reports whether a call to a sender failed before the sender accepted the request.
 func isRefusal(err error) bool {
 	return errors.Is(err, linker.ErrNotSent) || errors.Is(err, linker.ErrRemote)
@@ -384,112 +359,3 @@
 		return q.replaceLostOwner(now, d)
 	}
 }
-
-// replaceSilentOwners sends the request in another way to the servers of owners that have not replied in
-// time. Until an owner has replied, it lets the request run at most once per shard.
-func (q *query) replaceSilentOwners(now time.Time) Outcome {
-	if o := q.handleReplies(now); o != nil {
-		return o
-	}
-	for _, d := range q.delegations {
-		if !d.isAwaited() || now.Before(d.silenceDeadline) {
-			continue
-		}
-		f := q.forwarder
-		f.owners.markSuspect(now, d.dock)
-		d.ownerFailure = ownerFailureSilent
-		if !f.selector.MayRepeatAll(now, d.services, selector.RequiredRetry) {
-			// The owner may only be slow, so the query keeps waiting for its parts.
-			d.silenceDeadline = now.Add(silenceExtension)
-			continue
-		}
-		if o := q.redirect(now, d, d.earlierRuns+1); o != nil {
-			return o
-		}
-	}
-	return nil
-}
-
-// replaceLostOwner sends the request in another way to those servers of a group that the repeat budget
-// allows. The other shards fail.
-func (q *query) replaceLostOwner(now time.Time, d *delegation) Outcome {
-	affordable := []identifier.ServiceName{}
-	for _, s := range d.services {
-		if q.forwarder.selector.MayRepeat(now, s, selector.RequiredRetry) {
-			affordable = append(affordable, s)
-		} else if o := q.collector.addResult(result{service: s, reason: ReasonBudget, hasRun: true}); o != nil {
-			return o
-		}
-	}
-	d.services = affordable
-	return q.redirect(now, d, d.earlierRuns+1)
-}
-
-// redirect ends a delegation and sends the request to its services in another way, as reroute does.
-func (q *query) redirect(now time.Time, d *delegation, runs int) Outcome {
-	d.isOver = true
-	return q.reroute(now, d, d.services, runs)
-}
-
-// reroute sends the request to services of a delegation in another way: directly if this dock may, or
-// through the next sender. Runs is the number of the route's runs that senders may have used; if there are
-// any, the caller has charged the repeat budget. It returns the outcome, or nil if the query goes on.
-func (q *query) reroute(now time.Time, d *delegation, services []identifier.ServiceName, runs int) Outcome {
-	if len(services) == 0 {
-		return nil
-	}
-	if q.maySend(services) {
-		return q.sendDirectly(now, services, runs)
-	}
-	g := assigner.Group{Services: services, Senders: d.group.Senders}
-	dock, kind := q.forwarder.owners.choose(now, g, d.tried, false)
-	if kind != sendDelegated {
-		return q.failRerouted(now, services, runs)
-	}
-	next := q.newDelegation(now, dock, g, d.tried)
-	next.earlierRuns = runs
-	if next.attempts() <= 0 {
-		return q.failRerouted(now, services, runs)
-	}
-	q.startDelegation(next)
-	return nil
-}
-
-// failRerouted ends services that no other sender can be asked for, and returns what was charged to the
-// repeat budget. It returns the outcome, or nil if the query goes on.
-func (q *query) failRerouted(now time.Time, services []identifier.ServiceName, runs int) Outcome {
-	if runs == 0 {
-		return q.failUnsent(services)
-	}
-	for _, s := range services {
-		q.forwarder.selector.ReturnRepeat(now, s)
-		if o := q.collector.addResult(result{service: s, reason: ReasonNoSender, hasRun: true}); o != nil {
-			return o
-		}
-	}
-	return nil
-}
-
-// sendDirectly sends the request to a server of each of some services. It reserves the runs of the route
-// that senders may have used. The caller has charged the repeat budget if there are any.
-func (q *query) sendDirectly(now time.Time, services []identifier.ServiceName, runs int) Outcome {
-	if runs == 0 {
-		return q.start(services)
-	}
-	latency := q.forwarder.latency(q.route.Name)
-	for _, s := range services {
-		j := newJob(q, s, latency)
-		j.maxRuns -= runs
-		j.isReplacement = true
-		q.jobs = append(q.jobs, j)
-		if j.mayRunMore() && j.startAttempt(now, CauseRetry, true) {
-			continue
-		}
-		j.isOver = true
-		q.forwarder.selector.ReturnRepeat(now, s)
-		if o := q.collector.addResult(result{service: s, reason: ReasonNoServer, hasRun: true}); o != nil {
-			return o
-		}
-	}
-	return nil
-}
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -179,6 +179,16 @@
 	d.forwarder.UpdateServers(d.services)
 }
 
+// totalRequests returns the number of requests that arrived at all servers.
+func (d *deployment) totalRequests() int {
+	sum := 0
+	for _, s := range d.servers {
+		n, _ := s.count()
+		sum += n
+	}
+	return sum
+}
+
 // setRoute applies a configuration with a single route.
 func (d *deployment) setRoute(r matcher.Route) {
 	d.t.Helper()
--- a/internal/forwarder/end_test.go
+++ b/internal/forwarder/end_test.go
@@ -110,7 +110,7 @@
 		d.forwarder.UpdateServers(d.services)
 		d.get()
 	}
-	assert.Assert(t, d.executions() <= sent+slack, "%d", d.executions())
+	assert.Assert(t, d.totalRequests() <= sent+slack, "%d", d.totalRequests())
 }
 
 // TestReplacedServerIsAskedAgainAndAgain guards against a dock that does not hear from the keepers and
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -201,21 +201,6 @@
 	return NoRoute{}
 }
 
-// sendSingle sends the request to a service, or hands it over to a dock that may if this one may not.
-func (q *query) sendSingle(service identifier.ServiceName) Outcome {
-	f := q.forwarder
-	if f.selector.Connections(service) > 0 || q.request.isRelayed {
-		return q.run(&singleCollector{query: q}, service)
-	}
-	if !f.selector.HasReachable(service, f.clock.Now()) {
-		return Refused{After: f.retryAfter(), Reason: ReasonNoServer}
-	}
-	if o := q.relayTo(f.owners.sendersOf(service)); o != nil {
-		return o
-	}
-	return Refused{After: f.retryAfter(), Reason: ReasonNoSender}
-}
-
 // send sends the request to services: through the docks that own them, or directly. It returns the
 // outcome, or nil if the query goes on.
 func (q *query) send(services []identifier.ServiceName) Outcome {
@@ -256,37 +241,6 @@
 	}
 }
 
-// endUnsent ends the attempts that wait for a connection if no server can have got the request yet. It
-// reports whether none has and none will.
-func (q *query) endUnsent() bool {
-	q.awaitRefusals()
-	if q.mayHaveRun() {
-		return false
-	}
-	q.cancel()
-	for _, j := range q.jobs {
-		for j.inFlight > 0 {
-			r := <-q.results
-			r.attempt.job.inFlight--
-			r.attempt.job.trace.end(r)
-		}
-	}
-	return !q.mayHaveRun()
-}
-
-// mayHaveRun reports whether a server may have run the request, here or at a dock that it was delegated
-// to.
-func (q *query) mayHaveRun() bool {
-	return q.isKnownToHaveRun() || slices.ContainsFunc(q.delegations, (*delegation).mayHaveRun)
-}
-
-// isKnownToHaveRun reports whether a server got the request from this dock, or a dock that it was
-// delegated to has told so.
-func (q *query) isKnownToHaveRun() bool {
-	return slices.ContainsFunc(q.jobs, func(j *job) bool { return j.written.Load() > 0 }) ||
-		slices.ContainsFunc(q.delegations, func(d *delegation) bool { return d.hasRun })
-}
-
 // isRepeatForbidden reports whether the request must not be sent again to a job's service, because it
 // crashes servers or seems to.
 func (q *query) isRepeatForbidden(now time.Time, j *job) bool {
@@ -419,40 +373,3 @@
 	}
 	return a
 }
-
-// singleCollector passes on the answer of a single service.
-type singleCollector struct {
-	query *query
-}
-
-// addResult turns the result of the only job into the outcome.
-func (c *singleCollector) addResult(r result) Outcome {
-	switch {
-	case r.reply != nil:
-		return Answer{Reply: *r.reply}
-	case r.hasRun:
-		return Failed{Reason: r.reason}
-	case r.reason == ReasonLimited:
-		return c.query.refuseLimited([]identifier.ServiceName{r.service}, 0)
-	case r.reason == ReasonSuspected:
-		return Refused{After: isolatedRetryAfter, Reason: r.reason}
-	default:
-		return Refused{After: c.query.forwarder.retryAfter(), Reason: r.reason}
-	}
-}
-
-// isCritical returns true, because there is only one job.
-func (c *singleCollector) isCritical() bool { return true }
-
-// checkTime returns an outcome when the query must be given up: Failed if a server may have run
-// the request, Refused otherwise.
-func (c *singleCollector) checkTime(now time.Time) (Outcome, time.Time) {
-	giveUp := c.query.giveUpAt()
-	if now.Before(giveUp) {
-		return nil, giveUp
-	}
-	if !c.query.endUnsent() {
-		return Failed{Reason: ReasonTimeout}, giveUp
-	}
-	return Refused{After: defaultRetryAfter, Reason: ReasonTimeout}, giveUp
-}
--- a/internal/forwarder/reach_test.go
+++ b/internal/forwarder/reach_test.go
@@ -40,13 +40,3 @@
 	waitFor(t, func() bool { _, ok := d.get().(forwarder.Gathered); return ok })
 	assert.Assert(t, time.Since(began) < 2500*time.Millisecond)
 }
-
-// totalRequests returns the number of requests that arrived at all servers.
-func (d *deployment) totalRequests() int {
-	sum := 0
-	for _, s := range d.servers {
-		n, _ := s.count()
-		sum += n
-	}
-	return sum
-}
--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/forwarder"
 	"banyandock.example/banyandock/internal/matcher"
 )
@@ -30,6 +31,19 @@
 	return c
 }
 
+// addOutsider lets requests go to a further dock, which knows a list of docks without itself and is no
+// sender.
+func (c *cluster) addOutsider(domainDocks []encoder.Dock) {
+	c.t.Helper()
+	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
+	c.t.Cleanup(f.Close)
+	f.SetDocks(manyDocks, manyDomains)
+	f.SetDomainDocks(domainDocks)
+	f.UpdateServers(c.services)
+	c.forwarder = f
+	c.setRoute(scatterRoute(ownedShards, 3, 0.9, time.Second))
+}
+
 // TestDockThatMayNotConnectUsesTheNextSender lets the links to the first senders fail in turn. No shard is
 // asked by more docks than the senders of its group.
 func TestDockThatMayNotConnectUsesTheNextSender(t *testing.T) {
@@ -44,13 +58,7 @@
 // neither asked the servers itself nor left the caller in doubt.
 func TestRequestThatNoSenderTakesIsRefusedAtOnce(t *testing.T) {
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
-	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
-	t.Cleanup(f.Close)
-	f.SetDocks(manyDocks, manyDomains)
-	f.SetDomainDocks(c.domainDocks)
-	f.UpdateServers(c.services)
-	c.forwarder = f
-	c.setRoute(scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c.addOutsider(c.domainDocks)
 	c.setFault(faultRefused)
 	began := time.Now()
 	refused := expect[forwarder.Refused](t, c.get())
@@ -73,13 +81,8 @@
 // TestDockWithoutAListOfDocksDoesNotConnect has a dock that knows how many docks there are and not which.
 func TestDockWithoutAListOfDocksDoesNotConnect(t *testing.T) {
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
-	f := c.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: c})
-	t.Cleanup(f.Close)
-	f.SetDocks(manyDocks, manyDomains)
-	f.UpdateServers(c.services)
-	c.forwarder = f
-	c.setRoute(scatterRoute(ownedShards, 3, 0.9, time.Second))
-	assert.Equal(t, len(f.ConnectionTargets(time.Now())), 0)
+	c.addOutsider(nil)
+	assert.Equal(t, len(c.forwarder.ConnectionTargets(time.Now())), 0)
 	expect[forwarder.Refused](t, c.get())
 	assert.Equal(t, c.totalRequests(), 0)
 }
