Mutations of the new mechanisms; two tests that they lacked; no reserve for growth

Ten mechanisms were taken out one at a time (docs/PROOFS.md). Survivors: the owners of services without a route (the servers of the test accept fewer connections than there are docks, which alone keeps the others away), the run that a replaced sender may have used, and the reserve for growth. The first two got a test, which fails with the mutation.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -16,9 +16,6 @@
 	// usableShare is the part of a server's connections that docks may use. The rest is for health
 	// checks, probes and docks of an older release.
 	usableShare = 0.85
-	// growthNumerator and growthDenominator bound how many times more docks there may be than a dock
-	// knows of, while docks are being added.
-	growthNumerator, growthDenominator = 7, 6
 	// views is the number of assignments that may be in effect at the same time, because some docks
 	// have not learned of the latest one.
 	views = 2
@@ -71,14 +68,8 @@
 // usable returns how many of the connections that a server accepts docks may use.
 func usable(accepted int) int { return max(1, int(usableShare*float64(accepted))) }
 
-// share divides a number of connections evenly among all docks. It returns 0 if that leaves none for
-// docks that are being added.
-func share(connections int, fleet Fleet) int {
-	if fleet.Docks*growthNumerator > connections*growthDenominator {
-		return 0
-	}
-	return min(maxShared, connections/fleet.Docks)
-}
+// share divides a number of connections evenly among all docks. It returns 0 if there is not one for each.
+func share(connections int, fleet Fleet) int { return min(maxShared, connections/fleet.Docks) }
 
 // ofRank divides a number of connections among the senders of all failure domains.
 func ofRank(connections, domains, rank int) int {
--- a/internal/forwarder/connections_test.go
+++ b/internal/forwarder/connections_test.go
@@ -114,3 +114,13 @@
 		assert.Assert(t, n <= 5, "%d docks of 5 failure domains keep a connection to %s", n, address)
 	}
 }
+
+// TestNextIndexIsWarmedByItsOwnersAlone has servers that accept a connection from every dock. Those of the
+// next index still need none but their owners' before requests come.
+func TestNextIndexIsWarmedByItsOwnersAlone(t *testing.T) {
+	now, next := names("now", 87), names("next", 129)
+	f := newFleet(t, 195, 5, 400, append(append([]identifier.ServiceName{}, now...), next...))
+	for address, n := range f.countTargets(f.table(1, now, next)) {
+		assert.Assert(t, n <= 5, "%d docks of 5 failure domains keep a connection to %s", n, address)
+	}
+}
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -62,9 +62,10 @@
 	relayCalls  int
 	// refusals is the number of the next requests to docks that are not sent.
 	refusals int
-	// silentDock is the first dock that was called since isFirstSilent was set. It never answers.
-	isFirstSilent bool
-	silentDock    netip.AddrPort
+	// firstFault, if it is set, becomes the fault of the links to firstDock, which is the first dock that
+	// is called after that.
+	firstFault fault
+	firstDock  netip.AddrPort
 }
 
 // Gather passes the request to another dock, subject to the current fault.
@@ -76,11 +77,11 @@
 		c.refusals--
 		f = faultRefused
 	}
-	if c.isFirstSilent {
-		c.isFirstSilent, c.silentDock = false, dock
+	if c.firstFault != faultNone && !c.firstDock.IsValid() {
+		c.firstDock = dock
 	}
-	if dock == c.silentDock {
-		f = faultBlackhole
+	if dock == c.firstDock {
+		f = c.firstFault
 	}
 	c.mutex.Unlock()
 	owner := c.docks[dock.Port()]
--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -71,13 +72,35 @@
 // time, and no shard runs the request more often than the route allows.
 func TestSilentSenderIsReplacedByTheNext(t *testing.T) {
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, 300*time.Millisecond))
-	c.blackholeFirst()
+	c.setFirstFault(faultBlackhole)
 	began := time.Now()
 	c.getComplete()
 	assert.Assert(t, time.Since(began) < 300*time.Millisecond)
 	assert.Equal(t, c.totalRequests(), ownedShards)
 }
 
+// TestRunsStayBoundedWhenASenderIsReplaced has an owner that freezes after it has sent the request, and servers
+// that are so slow that the next sender would hedge. The route allows two runs.
+func TestRunsStayBoundedWhenASenderIsReplaced(t *testing.T) {
+	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, 120*time.Millisecond))
+	for i, s := range services(ownedShards) {
+		slow := after(150*time.Millisecond, answers(record(i)))
+		c.servers[encoder.ServerID(fmt.Sprintf("server-%d", i))].handle = slow
+		c.addServer(string(s), fmt.Sprintf("second-%d", i), slow)
+	}
+	for _, f := range c.docks {
+		f.UpdateServers(c.services)
+	}
+	c.setFirstFault(faultReplyDropped)
+	c.get()
+	time.Sleep(400 * time.Millisecond)
+	for i := range ownedShards {
+		first, _ := c.servers[encoder.ServerID(fmt.Sprintf("server-%d", i))].count()
+		second, _ := c.servers[encoder.ServerID(fmt.Sprintf("second-%d", i))].count()
+		assert.Assert(t, first+second <= 2, "%d runs of shard %d", first+second, i)
+	}
+}
+
 // TestDockWithoutAListOfDocksDoesNotConnect has a dock that knows how many docks there are and not which.
 func TestDockWithoutAListOfDocksDoesNotConnect(t *testing.T) {
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
@@ -201,9 +224,9 @@
 	c.refusals = calls
 }
 
-// blackholeFirst drops the requests to the first dock that is called.
-func (c *cluster) blackholeFirst() {
+// setFirstFault sets the fault of the links to the first dock that is called.
+func (c *cluster) setFirstFault(f fault) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isFirstSilent = true
+	c.firstFault = f
 }
