Docks open their first connections to a shared server one after the other

Traced with a line at each kept connection that had ended: 268 of them were connections to the servers of the single services (which accept 1,200), opened in advance by 195 docks within milliseconds when the first configuration came in force; one server alone reset 150. A server counts connections that it is still accepting as queued, and accepts fewer while its queue is long.

Change: after a change of targets a dock connects at once to the servers of the services that it owns, and to those that every dock sends to after a random part of 5 ms for each dock.

Test: TestDocksConnectToASharedServerOneAfterTheOther (195 docks within a tenth of a second before).

--- a/internal/forwarder/connections.go
+++ b/internal/forwarder/connections.go
@@ -4,36 +4,37 @@
 	"context"
 	"time"
 
+	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/warmer"
 )
 
-// warmServers is the number of servers of each service to which connections are kept open.
-const warmServers = 1
+// connectionTime is the time that a server is assumed to need to accept a connection.
+const connectionTime = 5 * time.Millisecond
 
-// ConnectionTargets returns the servers to which connections must be open before requests arrive:
-// the first server of each configured service, then the further ones. It leaves out services that
-// other docks send to, and returns nil without a configuration.
-func (f *Forwarder) ConnectionTargets(now time.Time) []sender.Destination {
+// ConnectionTargets returns the servers to which connections must be open before requests arrive: the
+// first server of each configured service. It leaves out services that other docks send to, and returns
+// none without a configuration.
+func (f *Forwarder) ConnectionTargets(now time.Time) warmer.Targets {
+	targets := warmer.Targets{Spread: time.Duration(f.selector.CountDocks()) * connectionTime}
 	table := f.table.Load()
 	if table == nil {
-		return nil
+		return targets
 	}
-	byRank := [warmServers][]sender.Destination{}
 	for _, s := range table.Services() {
-		if !f.selector.KeepsConnections(s.Name) {
+		list := &targets.Shared
+		switch f.selector.RoleFor(s.Name) {
+		case selector.RoleNone:
 			continue
+		case selector.RoleOwner:
+			list = &targets.Own
+		case selector.RoleAll:
 		}
-		connections := f.selector.Connections(s.Name)
-		for rank, target := range f.selector.ConnectionTargets(now, s.Name, warmServers) {
-			destination := sender.Destination{Address: target.Address, ID: target.ID, Connections: connections}
-			byRank[rank] = append(byRank[rank], destination)
+		if target, ok := f.selector.ConnectionTarget(now, s.Name); ok {
+			*list = append(*list, sender.Destination{Address: target.Address, ID: target.ID, Connections: f.selector.Connections(s.Name)})
 		}
 	}
-	list := []sender.Destination{}
-	for _, destinations := range byRank {
-		list = append(list, destinations...)
-	}
-	return list
+	return targets
 }
 
 // ConnectPeers opens the links to the other docks that own shards.
--- a/internal/forwarder/connections_test.go
+++ b/internal/forwarder/connections_test.go
@@ -87,7 +87,8 @@
 		dock.SetDomainDocks(f.domainDocks(d.Domain))
 		dock.UpdateServers(f.services)
 		dock.Configure(table)
-		for _, target := range dock.ConnectionTargets(time.Now()) {
+		targets := dock.ConnectionTargets(time.Now())
+		for _, target := range append(targets.Own, targets.Shared...) {
 			count[target.Address]++
 		}
 		dock.Close()
@@ -95,6 +96,12 @@
 	return count
 }
 
+// countTargets returns the number of servers to which a dock keeps connections open.
+func countTargets(f *forwarder.Forwarder) int {
+	targets := f.ConnectionTargets(time.Now())
+	return len(targets.Own) + len(targets.Shared)
+}
+
 // names returns the names of n services.
 func names(prefix string, n int) []identifier.ServiceName {
 	list := []identifier.ServiceName{}
--- a/internal/forwarder/senders_test.go
+++ b/internal/forwarder/senders_test.go
@@ -105,7 +105,7 @@
 func TestDockWithoutAListOfDocksDoesNotConnect(t *testing.T) {
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	c.addOutsider(nil)
-	assert.Equal(t, len(c.forwarder.ConnectionTargets(time.Now())), 0)
+	assert.Equal(t, countTargets(c.forwarder), 0)
 	expect[forwarder.Refused](t, c.get())
 	assert.Equal(t, c.totalRequests(), 0)
 }
@@ -117,7 +117,7 @@
 	c := newLargeCluster(t, scatterRoute(ownedShards, 3, 0.9, time.Second))
 	others := []*forwarder.Forwarder{}
 	for _, f := range c.docks {
-		if len(f.ConnectionTargets(time.Now())) > 0 {
+		if countTargets(f) > 0 {
 			f.UpdateServers(nil)
 		} else {
 			others = append(others, f)
@@ -156,7 +156,7 @@
 	for _, f := range c.docks {
 		f.UpdateServers(c.services)
 		f.Configure(c.ordersTable())
-		senders += len(f.ConnectionTargets(time.Now()))
+		senders += countTargets(f)
 	}
 	assert.Equal(t, senders, 1, "one of the docks owns the service")
 	for _, f := range c.docks {
@@ -177,7 +177,7 @@
 	for i, f := range c.docks {
 		f.UpdateServers(c.services)
 		f.Configure(c.ordersTable())
-		if len(f.ConnectionTargets(time.Now())) > 0 {
+		if countTargets(f) > 0 {
 			owner = i
 		}
 	}
--- a/internal/selector/ownership_test.go
+++ b/internal/selector/ownership_test.go
@@ -114,8 +114,8 @@
 	s.SetOwnership(threeOwners(true))
 	assert.Assert(t, s.Connections("plates") > 4)
 	assert.Assert(t, 2*3*s.Connections("plates") <= 86, "the current and the next owners fit")
-	assert.Assert(t, s.KeepsConnections("plates"))
+	assert.Equal(t, s.RoleFor("plates"), selector.RoleOwner)
 	s.SetOwnership(threeOwners(false))
-	assert.Assert(t, !s.KeepsConnections("plates"))
+	assert.Equal(t, s.RoleFor("plates"), selector.RoleNone)
 	assert.Equal(t, s.Connections("plates"), 0, "only senders may connect")
 }
--- a/internal/selector/subset.go
+++ b/internal/selector/subset.go
@@ -83,12 +83,38 @@
 	return !maps.Equal(before.Ranks, o.Ranks)
 }
 
-// KeepsConnections reports whether this host opens connections to the servers of a service before
-// requests need them: if every host sends to the service, or if this host owns it.
-func (s *Selector) KeepsConnections(service identifier.ServiceName) bool {
+// Role tells whether a host opens connections to the servers of a service before requests need them.
+type Role uint8
+
+// Roles.
+const (
+	// RoleNone means that it does not.
+	RoleNone Role = iota
+	// RoleOwner means that it does, because it owns the service.
+	RoleOwner
+	// RoleAll means that it does, because every host sends to the service.
+	RoleAll
+)
+
+// RoleFor returns this host's role for a service.
+func (s *Selector) RoleFor(service identifier.ServiceName) Role {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case !s.ownership.hasSenders(service):
+		return RoleAll
+	case s.ownership.owns(service):
+		return RoleOwner
+	default:
+		return RoleNone
+	}
+}
+
+// CountDocks returns the number of hosts among which connections are divided.
+func (s *Selector) CountDocks() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return !s.ownership.hasSenders(service) || s.ownership.owns(service)
+	return s.fleet.Docks
 }
 
 // NeedsSenders reports whether the servers of a service do not accept a connection from every host.
@@ -150,19 +176,17 @@
 	s.subsets[service] = ranked[:size]
 }
 
-// ConnectionTargets returns at most limit servers of this host's subset of a service, without those
-// that are silent or that could not be reached recently. Servers in this host's failure domain come
-// first.
-func (s *Selector) ConnectionTargets(now time.Time, service identifier.ServiceName, limit int) []Target {
+// ConnectionTarget returns the first server of this host's subset of a service that sends heartbeats and
+// that could be reached lately, or false if there is none. Servers in this host's failure domain come first.
+func (s *Selector) ConnectionTarget(now time.Time, service identifier.ServiceName) (Target, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	targets := []Target{}
 	for _, v := range s.subsets[service] {
-		if len(targets) < limit && v.isReachable(now) {
-			targets = append(targets, Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain})
+		if v.isReachable(now) {
+			return Target{ID: v.info.ID, Address: v.info.Address, Domain: v.info.Domain}, true
 		}
 	}
-	return targets
+	return Target{}, false
 }
 
 // subsetSize returns the number of a service's servers that each host holds connections to.
--- a/internal/warmer/warmer.go
+++ b/internal/warmer/warmer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,11 +27,20 @@
 	connectionsPerServer = 1
 )
 
+// Targets are the servers to which connections are kept open.
+type Targets struct {
+	// Own are the servers that few docks send to, and Shared those that every dock sends to.
+	Own    []sender.Destination
+	Shared []sender.Destination
+	// Spread is the time over which all docks together open their first connections to shared servers,
+	// because a server that gets many at once resets some.
+	Spread time.Duration
+}
+
 // TargetSource provides the servers and docks to connect to.
 type TargetSource interface {
-	// ConnectionTargets returns the servers to which connections are kept open, the most
-	// important ones first.
-	ConnectionTargets(now time.Time) []sender.Destination
+	// ConnectionTargets returns the servers to which connections are kept open.
+	ConnectionTargets(now time.Time) Targets
 	// ConnectPeers opens the links to other docks that requests will need.
 	ConnectPeers(ctx context.Context)
 }
@@ -88,26 +98,55 @@
 	w.tasks.Wait()
 }
 
-// loop opens the missing connections at intervals and after calls of Wake.
+// loop opens the missing connections at intervals and after calls of Wake. Connections to shared servers
+// follow after a random part of the spread.
 func (w *Warmer) loop() {
 	defer w.tasks.Done()
 	ticker := w.clock.NewTicker(roundInterval)
 	defer ticker.Stop()
+	shared := w.clock.NewTimer(0)
+	defer shared.Stop()
+	isSharedDue, isScheduled := false, true
 	for {
-		w.warmAll()
+		spread := w.warmAll(isSharedDue)
 		select {
 		case <-w.ctx.Done():
 			return
 		case <-ticker.C:
+		case <-shared.C:
+			isSharedDue, isScheduled = true, false
 		case <-w.changed:
+			if !isScheduled {
+				isSharedDue, isScheduled = false, true
+				shared.Reset(randomPart(spread))
+			}
 		}
 	}
 }
 
-// warmAll opens the missing connections to all servers and peers.
-func (w *Warmer) warmAll() {
+// randomPart returns a random part of a duration.
+func randomPart(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
+
+// warmAll opens the missing connections to all peers and servers, those to shared servers only if they are
+// due. It returns the spread of shared servers.
+func (w *Warmer) warmAll(isSharedDue bool) time.Duration {
 	w.targets.ConnectPeers(w.ctx)
-	for _, to := range w.targets.ConnectionTargets(w.clock.Now()) {
+	targets := w.targets.ConnectionTargets(w.clock.Now())
+	w.openAll(targets.Own)
+	if isSharedDue {
+		w.openAll(targets.Shared)
+	}
+	return targets.Spread
+}
+
+// openAll opens the missing connections to servers.
+func (w *Warmer) openAll(destinations []sender.Destination) {
+	for _, to := range destinations {
 		if w.ctx.Err() != nil {
 			return
 		}
--- a/internal/warmer/warmer_test.go
+++ b/internal/warmer/warmer_test.go
@@ -25,12 +25,17 @@
 	open     map[netip.AddrPort]bool
 	refusing map[netip.AddrPort]bool
 	opened   []time.Time
+	// spread, if it is set, makes the servers shared ones.
+	spread time.Duration
 }
 
-func (s *fakeServers) ConnectionTargets(time.Time) []sender.Destination {
+func (s *fakeServers) ConnectionTargets(time.Time) warmer.Targets {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.list
+	if s.spread > 0 {
+		return warmer.Targets{Shared: s.list, Spread: s.spread}
+	}
+	return warmer.Targets{Own: s.list}
 }
 
 func (s *fakeServers) ConnectPeers(context.Context) {}
@@ -98,3 +103,31 @@
 		assert.Equal(t, s.count(), 5)
 	})
 }
+
+// TestDocksConnectToASharedServerOneAfterTheOther has 195 docks that learn of a server at the same moment.
+// The server needs 5 ms for each connection and resets those that come while more than 100 wait.
+func TestDocksConnectToASharedServerOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const docks = 195
+		servers := []*fakeServers{}
+		for range docks {
+			s := &fakeServers{open: map[netip.AddrPort]bool{}, refusing: map[netip.AddrPort]bool{}, spread: docks * 5 * time.Millisecond}
+			w := warmer.New(s, s, timekeeper.System{}, metrics.NewRegistry())
+			defer w.Close()
+			servers = append(servers, s)
+			synctest.Wait()
+			s.add(1)
+			w.Wake()
+		}
+		time.Sleep(2 * time.Second)
+		perInterval := map[time.Duration]int{}
+		start := time.Now().Add(-2 * time.Second)
+		for _, s := range servers {
+			assert.Equal(t, s.count(), 1, "each dock has connected")
+			perInterval[s.opened[0].Sub(start)/(100*time.Millisecond)]++
+		}
+		for at, n := range perInterval {
+			assert.Assert(t, n <= 60, "%d docks connect in tenth %d of a second", n, at)
+		}
+	})
+}
