--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts start.
+set -eu
+cd "$(dirname "$0")/cases"
+GOWORK=off go build -o ../../target/review-cases .
