Review case 4: a disk lost at the first start stops the system for good

Cause: a keeper that starts with may_form = false reports that a group exists, although none was formed, and all keepers with empty logs save that for good.

Change: a script. Nothing of the product is changed.

--- a/review/cases/case_departure.go
+++ b/review/cases/case_departure.go
@@ -77,6 +77,7 @@
 	if hasTrouble {
 		to = d.address(s.otherKeeper(), portControl)
 	}
+	s.isLeaving.Store(true)
 	status, _ := d.call(http.MethodDelete, "http://"+to+"/api/instances/"+s.id, "")
 	acknowledged := time.Now()
 	d.records.add("%s, whose heartbeats go to %s, sends DELETE to %s: status %d", s.id, s.endpoint, to, status)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -29,9 +29,10 @@
 // cases holds the function of each case by its name on the command line. hasTrouble tells whether the
 // disruption is played.
 var cases = map[string]func(d *deployment, hasTrouble bool) (verdict, error){
-	"replaced-while-frozen": replacedWhileFrozen,
-	"departure-elsewhere":   departureElsewhere,
-	"leaving-in-answers":    leavingInAnswers,
+	"replaced-while-frozen":    replacedWhileFrozen,
+	"departure-elsewhere":      departureElsewhere,
+	"leaving-in-answers":       leavingInAnswers,
+	"disk-lost-at-first-start": diskLostAtFirstStart,
 }
 
 func main() {
--- a/review/cases/searcher.go
+++ b/review/cases/searcher.go
@@ -159,6 +159,7 @@
 	header.Set("X-Banyandock-Request-Id", id)
 	if s.isLeaving.Load() {
 		header.Set("Server-Leaving", "1")
+		header.Set("Connection", "close")
 	}
 	if r.URL.Path == "/health" {
 		header.Set("X-Banyandock-Instance-Id", s.id)
