--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts start.
 set -eu
 cd "$(dirname "$0")/cases"
-GOWORK=off go build -o ../../target/review-cases .
+GOWORK=off go build -buildvcs=false -o ../../target/review-cases .
