A replaced keeper is told so whatever its own log says

Cause: the new keeper takes the place of any voter that is silent for two election timeouts, here of the one that stood still. When that one wakes, the joint configuration waits in its socket, so that it is no voter by its own log. Only replies to pre-vote requests told a member that it had been replaced, and only voters send these; the leader dropped its probes. It never erased its state and never returned as a learner, so the keeper that left later kept its vote.

Change: members answer the probe of a replaced incarnation with its removal. A member that is no voter by its own log and hears no leader asks with a pre-vote request, which members of the release before answer. A removed keeper keeps the members that it knew, because all hosts of its settings may have been replaced. A removal is told only once the configuration without the member is committed, so erasing it loses nothing acknowledged.

The simulation no longer thaws hosts and heals links in runs that ask for no such faults; with them it draws as before.

--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -117,6 +117,7 @@
 	c.self.Incarnation = s.State.Self
 	c.history.reset(s.Snapshot.Last.Index, s.Snapshot.Digest)
 	c.rebuildConfigurations()
+	c.recordAddresses(settings.Known)
 	c.recordAddresses(settings.Initial)
 	c.recordAddresses(c.configuration().members())
 	c.resetElectionTimeout()
--- a/internal/replicator/export_test.go
+++ b/internal/replicator/export_test.go
@@ -88,6 +88,12 @@
 	return entry.configuration, entry.index
 }
 
+// ReportGroup forbids a member with an empty log to form a group.
+func (e *Engine) ReportGroup() error {
+	e.engine.core.recordGroupSeen()
+	return e.engine.flush()
+}
+
 // Incarnation returns the member's incarnation.
 func (e *Engine) Incarnation() identifier.Incarnation { return e.engine.core.self.Incarnation }
 
@@ -111,6 +117,16 @@
 	return err == nil && ok && p.Granted
 }
 
+// IsProbe reports whether a message is a probe, and IsPreVoteRequest whether it requests a pre-vote.
+func IsProbe(message []byte) bool { return hasKind(message, payloadProbe) }
+
+func IsPreVoteRequest(message []byte) bool { return hasKind(message, payloadPreVoteRequest) }
+
+func hasKind(message []byte, kind payloadKind) bool {
+	m, err := decodeMessage(message)
+	return err == nil && m.Kind == kind
+}
+
 // EnterTerm makes the member enter a later term without voting in it.
 func (e *Engine) EnterTerm(term uint64) error {
 	if term > e.engine.core.state.Term {
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -33,6 +33,19 @@
 		return
 	}
 	c.probeHosts()
+	c.askWhetherRemoved()
+}
+
+// askWhetherRemoved asks the members that this member knows of whether it was replaced. If its own log
+// says so, it starts no pre-vote, whose replies would tell it. A member of a release that does not
+// answer probes with that answers a pre-vote request.
+func (c *core) askWhetherRemoved() {
+	if c.hasEmptyLog() || c.hasRecentLeader() {
+		return
+	}
+	for _, m := range c.others() {
+		c.send(m, preVoteRequest{Candidacy: c.state.Term + 1, Last: c.log.last()})
+	}
 }
 
 // probeHosts sends a probe to all known hosts.
@@ -62,10 +75,15 @@
 	})
 }
 
-// receiveProbe adds the sender as a learner if this member leads. While this member's log is
-// empty, it processes the probe as a step of the group's formation.
+// receiveProbe adds the sender as a learner if this member leads, and tells a sender that was
+// replaced that it was. While this member's log is empty, it processes the probe as a step of the
+// group's formation.
 func (c *core) receiveProbe(m received, p probe) {
 	c.recordAddresses(p.Members)
+	if c.isFormer(m.From) {
+		c.reply(m, preVoteReply{Removed: true})
+		return
+	}
 	if c.role == leader {
 		c.addLearner(m.From)
 	}
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -36,20 +36,20 @@
 		// The crash happens at one of the next operations on the disk.
 		p.disk.crashAfter = s.random.IntN(12)
 	}
-	if p.engine == nil && s.random.IntN(20) == 0 {
+	if p.engine == nil && !p.isGone && s.random.IntN(20) == 0 {
 		p.start()
 	}
 	if s.random.Float64() < f.cut {
 		a, b := s.initial[s.random.IntN(len(s.initial))].Name, s.initial[s.random.IntN(len(s.initial))].Name
 		s.cutLinks[[2]identifier.HostName{a, b}] = true
 	}
-	if s.random.IntN(60) == 0 {
+	if f.cut > 0 && s.random.IntN(60) == 0 {
 		clear(s.cutLinks)
 	}
 	if s.random.Float64() < f.freeze && p.engine != nil {
 		p.isFrozen = true
 	}
-	if p.isFrozen && s.random.IntN(40) == 0 {
+	if p.isFrozen && f.freeze > 0 && s.random.IntN(40) == 0 {
 		p.isFrozen = false
 	}
 	if s.random.Float64() < f.loseDisk && s.canLoseDisk(p) {
--- a/internal/replicator/settings.go
+++ b/internal/replicator/settings.go
@@ -44,6 +44,9 @@
 	// Initial holds the hosts of the initial group, with zero incarnations. It must include
 	// Self unless Voters is set.
 	Initial []Member
+	// Known holds further members that may know the group. A member with an empty log finds its group
+	// through them if all hosts of Initial have been replaced.
+	Known []Member
 	// Voters is the number of voters that the group grows to, with members that Initial does
 	// not name. Zero means that the voters are always the hosts of Initial.
 	Voters int
--- a/internal/replicator/simulation_test.go
+++ b/internal/replicator/simulation_test.go
@@ -29,6 +29,12 @@
 	isIsolated bool
 	// isReturned is set once a replaced process is no longer isolated.
 	isReturned bool
+	// isGone is set once the host was removed for good.
+	isGone bool
+	// isRemoved is set once the process was told that another member replaced it. known are the members
+	// that it knew then.
+	isRemoved bool
+	known     []replicator.Member
 }
 
 // recordingRegister is a register with a swap operation that checks every applied command
@@ -75,14 +81,19 @@
 
 // simulation runs processes, links and clients. All its random choices come from one seed.
 type simulation struct {
-	t         testing.TB
-	seed      uint64
-	random    *rand.Rand
-	now       int
-	initial   []replicator.Member
+	t       testing.TB
+	seed    uint64
+	random  *rand.Rand
+	now     int
+	initial []replicator.Member
+	// voters is the number of voters that the group grows to, or zero for the hosts of initial.
+	voters    int
 	processes []*process
 	inFlight  []inFlightMessage
 	cutLinks  map[[2]identifier.HostName]bool
+	// isIgnored reports whether a message is lost because its sender or its receiver is of a release
+	// that does not know it. It may be nil.
+	isIgnored func(from *process, message []byte) bool
 	faults    faults
 
 	calls   []call
@@ -168,15 +179,24 @@
 	}
 	settings := replicator.Settings{
 		Self: p.member, Initial: s.initial, HeartbeatTicks: 2, ElectionTicks: 10, FormationTicks: 20,
-		SnapshotEntries: 12, TrailingEntries: 4, AppendBytes: 100, ChunkBytes: 20,
+		SnapshotEntries: 12, TrailingEntries: 4, AppendBytes: 100, ChunkBytes: 20, Voters: s.voters, Known: p.known,
 	}
 	p.engine, err = replicator.OpenEngine(settings, p.machine, j, p,
 		replicator.WithSeed(s.random.Uint64()),
-		replicator.WithEvents(func(e replicator.Event) { s.events[e.Kind]++ }),
+		replicator.WithEvents(p.recordEvent),
 		replicator.WithInvariantFailure(func(v replicator.Violation) { s.violation = v.Error() }))
 	p.afterStep(err)
 }
 
+// recordEvent counts an event of the process.
+func (p *process) recordEvent(e replicator.Event) {
+	p.simulation.events[e.Kind]++
+	if e.Kind == replicator.EventRemoved {
+		p.isRemoved = true
+		p.known = []replicator.Member{e.Member}
+	}
+}
+
 // afterStep records the committed configuration after a step, and stops the process if the step
 // failed because its disk crashed. Any other error fails the test.
 func (p *process) afterStep(err error) {
@@ -215,6 +235,9 @@
 // Send queues a message, subject to loss, duplication and delay.
 func (p *process) Send(to replicator.Member, message []byte) {
 	s := p.simulation
+	if s.isIgnored != nil && s.isIgnored(p, message) {
+		return
+	}
 	copies := 1
 	if s.random.Float64() < s.faults.duplicate {
 		copies = 2
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -57,8 +57,10 @@
 
 // Keeper is a running keeper.
 type Keeper struct {
-	process     *launcher.Process
-	settings    *settingsreader.RouteKeeper
+	process  *launcher.Process
+	settings *settingsreader.RouteKeeper
+	// known are members of the group that the settings need not name.
+	known       []replicator.Member
 	adapter     Adapter
 	state       *registrar.Registrar
 	transport   *keeperrunner.Transport
@@ -70,12 +72,13 @@
 	control     *http.Server
 	tasks       sync.WaitGroup
 
-	// removed receives a value when another member has replaced this one in the group.
-	removed chan struct{}
+	// removed receives the member that reported that this one was replaced in the group, or the zero
+	// Member if that was reported before the keeper's last start.
+	removed chan replicator.Member
 }
 
 // start opens the keeper's components in the order of their dependencies, the control address last.
-func start(p *launcher.Process, settings *settingsreader.RouteKeeper, adapter Adapter) (*Keeper, error) {
+func start(p *launcher.Process, settings *settingsreader.RouteKeeper, known []replicator.Member, adapter Adapter) (*Keeper, error) {
 	if settings.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimitMB) * 1e6))
 	}
@@ -83,10 +86,11 @@
 	k := &Keeper{
 		process:  p,
 		settings: settings,
+		known:    known,
 		adapter:  adapter,
 		state:    registrar.New(invariants, registrar.WithHighestWins()),
 		pool:     linker.NewPool(p.Self(), p.Clock),
-		removed:  make(chan struct{}, 1),
+		removed:  make(chan replicator.Member, 1),
 	}
 	k.transport = keeperrunner.NewTransport(p.Self(), p.Clock)
 	if err := k.openReplicator(invariants); err != nil {
@@ -156,6 +160,7 @@
 	address := k.settings.LinkAddress
 	group := replicator.Settings{
 		Self:          replicator.Member{Name: identifier.HostName(address.Addr().String()), Address: address},
+		Known:         k.known,
 		Voters:        k.settings.Voters(),
 		ElectionTicks: electionTicks,
 	}
--- a/internal/routekeeperrunner/runner.go
+++ b/internal/routekeeperrunner/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 	process  *launcher.Process
 	settings settingsreader.RouteKeeper
 	adapter  Adapter
+	// known are the members that this keeper knew when it was removed from the group.
+	known []replicator.Member
 	// current is the running keeper, or nil between two runs.
 	current atomic.Pointer[Keeper]
 }
@@ -73,7 +76,7 @@
 
 // serve runs one keeper until the context ends, the keeper is removed or its storage fails.
 func (r *runner) serve(ctx context.Context) error {
-	k, err := start(r.process, &r.settings, r.adapter)
+	k, err := start(r.process, &r.settings, r.known, r.adapter)
 	if err != nil {
 		return err
 	}
@@ -82,13 +85,24 @@
 	select {
 	case <-ctx.Done():
 		return k.Close()
-	case <-k.removed:
+	case by := <-k.removed:
+		r.known = knownMembers(by, k.replicator.Status())
 		return errors.Join(errRemoved, k.Close())
 	case <-k.replicator.Stopped():
 		return errors.Join(errStorage, k.Close())
 	}
 }
 
+// knownMembers returns the member that told a keeper of its removal, if there is one, and the voters
+// that the keeper knows. Through them it finds the group again if its seeds have been replaced too.
+func knownMembers(by replicator.Member, s replicator.Status) []replicator.Member {
+	members := slices.Clone(s.Voters)
+	if by.Address.IsValid() {
+		members = append(members, by)
+	}
+	return members
+}
+
 // waitForRestart waits for restartDelay or until the context ends.
 func (r *runner) waitForRestart(ctx context.Context) {
 	timer := r.process.Clock.NewTimer(restartDelay)
--- a/internal/routekeeperrunner/state_machine.go
+++ b/internal/routekeeperrunner/state_machine.go
@@ -85,7 +85,7 @@
 func (k *Keeper) recordEvent(e replicator.Event) {
 	if e.Kind == replicator.EventRemoved {
 		select {
-		case k.removed <- struct{}{}:
+		case k.removed <- e.Member:
 		default:
 		}
 	}
