A departure counts at every keeper, whichever has the server's heartbeats

Callers saw: a server sends its departure, which names no start, to another keeper than its heartbeats; it is acknowledged, and docks go on sending until the server exits.

Cause: a keeper that does not know the server recorded a departure of the start 0, which counts nowhere beside the registration that another keeper has, with the real start. Evidence: its log line "server departs" has an empty service and born 0, and no departure failed to be passed on.

Change: a departure that names no start covers the registered start if that is current, and otherwise all that are certainly earlier than the departure, so that docks and keepers of either release order it beside the real start without being told more. Keepers apply it also to a later start that they have known for longer than a departure takes from one keeper to another. It is no longer broken off on its way to keepers outside of the first majority. On the same path: a keeper that knew an earlier start took the departure for that one; docks took a server that had left for crashed when a keeper had missed its heartbeats.

--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -48,6 +48,10 @@
 	// SilentFor is the time, as of sending, since the last heartbeat of a silent server. It is zero in
 	// registrations of an older release.
 	SilentFor time.Duration `msgpack:"f,omitempty"`
+	// IsAnyStart is set in a departure that names no start. Born then covers the starts that are certainly
+	// earlier than the departure, and keepers apply it to a later one that they have known for long enough.
+	// A keeper of an older release applies it to the starts up to Born.
+	IsAnyStart bool `msgpack:"y,omitempty"`
 	// EndWindow is how long after its last heartbeat a silent server ended at the latest.
 	EndWindow time.Duration `msgpack:"w,omitempty"`
 }
--- a/internal/locator/directory.go
+++ b/internal/locator/directory.go
@@ -22,6 +22,8 @@
 	// restoredExpiryTime is how long a restored server without heartbeats is kept. It is shorter
 	// than expiryTime because the server may have left while the keeper was down.
 	restoredExpiryTime = 2500 * time.Millisecond
+	// maxClockDifference bounds the difference between the clocks of a keeper and of a server.
+	maxClockDifference = 5 * time.Second
 	// heartbeatsInSilence is the number of heartbeat intervals that fit into the time after which a
 	// server is marked as silent.
 	heartbeatsInSilence = 3
@@ -40,7 +42,9 @@
 type entry struct {
 	registration  encoder.Registration
 	lastHeartbeat time.Time
-	coldUntil     time.Time
+	// knownSince is the time of the first heartbeat of this start, or zero if it is not known.
+	knownSince time.Time
+	coldUntil  time.Time
 	// silentSince is the time of the last heartbeat of a silent server.
 	silentSince time.Time
 	// isRestored is set until the first heartbeat after the directory was restored.
@@ -77,7 +81,7 @@
 		g.releaseAddress(e.registration)
 	}
 	if e == nil || e.registration.Born < r.Born {
-		e = &entry{}
+		e = &entry{knownSince: now}
 		g.entries[r.ID] = e
 	}
 	before := e.registration
@@ -98,21 +102,44 @@
 }
 
 // Deregister marks a server as gone and returns the registrations that changed. It ignores the call
-// if the server has started again since the start at born; if born is zero, it applies to any
-// start. An unknown server is recorded as gone, so that its delayed heartbeats do not add it.
+// if the server has started again since the start at born. If born is zero, the call names no start: it
+// applies to the registered start if that is current, and otherwise to all that are certainly earlier
+// than now. An unknown server is recorded as gone, so that its delayed heartbeats do not add it.
 func (g *Directory) Deregister(now time.Time, id encoder.ServerID, born int64) []encoder.Registration {
 	e := g.entries[id]
+	isAnyStart := born == 0
+	if isAnyStart {
+		born = latestStart(now, e)
+	}
 	if e == nil {
-		e = &entry{registration: encoder.Registration{ID: id, Born: born}}
+		e = &entry{registration: encoder.Registration{ID: id}}
 		g.entries[id] = e
-	}
-	if born != 0 && born < e.registration.Born || e.registration.State == encoder.PresenceGone {
+	} else if !isDeparture(born, e.registration) {
 		return nil
 	}
-	if born > e.registration.Born {
-		e.registration.Born = born
+	e.registration.Born = born
+	e.registration.IsAnyStart = isAnyStart
+	return []encoder.Registration{g.markLeft(now, e)}
+}
+
+// isDeparture reports whether the departure of the start at born changes a registration.
+func isDeparture(born int64, known encoder.Registration) bool {
+	return born > known.Born || born == known.Born && known.State != encoder.PresenceGone
+}
+
+// latestStart returns the latest start, in milliseconds of Unix time, to which a departure applies that
+// names none. Unless the registered start is current, the server may have started again since, and may
+// send its heartbeats to another keeper. e may be nil.
+func latestStart(now time.Time, e *entry) int64 {
+	earlier := now.Add(-maxClockDifference).UnixMilli()
+	switch {
+	case e == nil:
+		return earlier
+	case e.registration.State != encoder.PresenceGone && !e.registration.Silent && !e.isRestored:
+		return e.registration.Born
+	default:
+		return max(e.registration.Born, earlier)
 	}
-	return []encoder.Registration{g.markGone(now, e)}
 }
 
 // Sweep marks servers without heartbeats as silent, removes expired servers and tombstones, and
@@ -175,6 +202,14 @@
 	e.registration.EndWindow = window
 }
 
+// markLeft marks a server as gone that has left, whether or not its heartbeats had ceased before.
+func (g *Directory) markLeft(now time.Time, e *entry) encoder.Registration {
+	e.registration.Silent = false
+	e.registration.EndWindow = 0
+	e.silentSince = time.Time{}
+	return g.markGone(now, e)
+}
+
 // markGone marks a server as gone, releases its address and returns its registration.
 func (g *Directory) markGone(now time.Time, e *entry) encoder.Registration {
 	r := &e.registration
--- a/internal/locator/end.go
+++ b/internal/locator/end.go
@@ -26,16 +26,19 @@
 	Latest   time.Time
 }
 
-// Ended returns the starts of servers that ended without leaving, as all keepers that report
-// them say,
+// Ended returns the starts of servers that ended without leaving, as all keepers that report them say,
 // ordered by server. Earlier ones than endTime ago are left out.
 func (c *Catalog) Ended(now time.Time) []End {
 	ends := map[encoder.ServerID]End{}
 	alive := map[encoder.ServerID]int64{}
+	left := map[encoder.ServerID]int64{}
 	for _, r := range c.keepers {
 		for id, h := range r.servers {
 			if !h.hasEnded() {
 				alive[id] = max(alive[id], h.registration.Born)
+				if h.registration.State == encoder.PresenceGone {
+					left[id] = max(left[id], h.registration.Born)
+				}
 				continue
 			}
 			e := End{Start: Start{Server: id, Born: h.registration.Born}, Earliest: h.silentSince, Latest: h.silentSince.Add(h.registration.EndWindow)}
@@ -48,7 +51,9 @@
 	maps.DeleteFunc(c.restarted, func(_ encoder.ServerID, e End) bool { return now.Sub(e.Latest) > endTime })
 	list := slices.Collect(maps.Values(c.restarted))
 	for id, e := range ends {
-		if born, ok := alive[id]; (!ok || born != e.Born) && now.Sub(e.Earliest) < endTime {
+		departed, ok := left[id]
+		hasLeft := ok && departed >= e.Born
+		if born, ok := alive[id]; (!ok || born != e.Born) && !hasLeft && now.Sub(e.Earliest) < endTime {
 			list = append(list, e)
 		}
 	}
@@ -58,6 +63,10 @@
 
 // recordRestart records that a server has started again under its ID, if it had not left before.
 func (c *Catalog) recordRestart(now time.Time, before, after encoder.Registration) {
+	if after.State == encoder.PresenceGone {
+		// A departure that names no start covers later ones than the registered one.
+		return
+	}
 	if before.Born < after.Born && before.State == encoder.PresenceReady && before.Born != 0 {
 		c.restarted[before.ID] = End{Start: Start{Server: before.ID, Born: before.Born}, Latest: now}
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -176,6 +176,9 @@
 	FieldState    = "state"
 	FieldSequence = "sequence"
 	FieldBorn     = "born"
+	// FieldAnyStart is set for the departure of a server that names no start. FieldBorn is then the latest
+	// start to which it applies.
+	FieldAnyStart = "any_start"
 	FieldOrigin   = "origin"
 	FieldEvent    = "event"
 	FieldTerm     = "term"
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -19,6 +19,9 @@
 	operatorCallTimeout = 900 * time.Millisecond
 	// departureTimeout bounds how long the response to a departure waits for other keepers.
 	departureTimeout = 250 * time.Millisecond
+	// departureCallTimeout bounds how long a departure takes to another keeper. A keeper that is late
+	// must still get it, because it may be the one that the server sends its heartbeats to.
+	departureCallTimeout = 900 * time.Millisecond
 )
 
 // Submit commits a configuration's text unless one with a higher number is committed. Its outcome
@@ -145,7 +148,7 @@
 		}
 		k.process.Log.Info().Str(recorder.FieldServer, string(r.ID)).Str(recorder.FieldService, string(r.Service)).
 			Stringer(recorder.FieldState, r.State).Uint64(recorder.FieldSequence, r.Sequence).
-			Int64(recorder.FieldBorn, r.Born).Msg(recorder.EventServerDeparts)
+			Int64(recorder.FieldBorn, r.Born).Bool(recorder.FieldAnyStart, r.IsAnyStart).Msg(recorder.EventServerDeparts)
 		// The departure is sent to the other keepers before the directory is saved, because the
 		// disk may be slow.
 		k.sendDeparture(ctx, r)
@@ -161,7 +164,7 @@
 	for _, m := range s.Voters {
 		if m.Name != s.Self.Name {
 			k.tasks.Add(1)
-			go (&departureSender{keeper: k, to: m, registration: r, acknowledged: acknowledged}).run(ctx)
+			go (&departureSender{keeper: k, to: m, registration: r, acknowledged: acknowledged}).run()
 		}
 	}
 	for range len(s.Voters) / 2 {
@@ -182,9 +185,11 @@
 }
 
 // run makes the call and logs a failure.
-func (s *departureSender) run(ctx context.Context) {
+func (s *departureSender) run() {
 	k := s.keeper
 	defer k.tasks.Done()
+	ctx, cancel := context.WithTimeout(k.ctx, departureCallTimeout)
+	defer cancel()
 	_, err := linker.Call[encoder.Registration, encoder.DepartReply](ctx, k.pool.Link(s.to.Address), encoder.KindDepart, s.registration)
 	if err != nil {
 		k.process.Log.Warn().Err(err).Str(recorder.FieldServer, string(s.registration.ID)).
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -70,7 +70,10 @@
 	links       *linker.Server
 	pool        *linker.Pool
 	control     *http.Server
-	tasks       sync.WaitGroup
+	// ctx ends when the keeper closes.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 
 	// removed receives the member that reported that this one was replaced in the group, or the zero
 	// Member if that was reported before the keeper's last start.
@@ -92,6 +95,7 @@
 		pool:     linker.NewPool(p.Self(), p.Clock),
 		removed:  make(chan replicator.Member, 1),
 	}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.transport = keeperrunner.NewTransport(p.Self(), p.Clock)
 	if err := k.openReplicator(invariants); err != nil {
 		return nil, k.closeAfterError(eris.Wrapf(errStorage, "%v", err))
@@ -252,6 +256,7 @@
 
 // Close stops the components in the reverse order of their dependencies and waits for them.
 func (k *Keeper) Close() error {
+	k.cancel()
 	if k.control != nil {
 		// The connections are closed even if closing the listener fails.
 		_ = k.control.Close()
