A server whose replies say that it leaves gets nothing more

Callers saw: docks pass on replies of a server that leaves, which say so, and send on to it at the full rate until it exits, because its heartbeats are late.

Cause: nothing read the header; docks knew of leaving servers only from the keepers. Evidence: no log line or metric of the docks changes when the replies do.

Change: the reply's metadata say that its server leaves. The selector drops that start for all that chooses a server, and remembers it, so that the keepers' list does not bring it back; requests that wait for its connections go elsewhere. The dock tells a keeper, as keepers tell each other, unless one knows by then, so that the other docks need not find out. The next start under the ID is used at once. If all servers of a service leave, requests are refused at once.

Tests: TestServerThatLeavesGetsNoMoreRequests (fails without the call of observeLeaving, as does TestRequestIsRefusedAtOnceIfAllServersLeave; the code before lacks the field), TestReplyOfAnotherServerSaysNothingOfLeaving, TestDocksAreToldThatAServerLeaves, TestKeepersAreNotToldWhatTheyKnow.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -208,6 +208,7 @@
 	f := a.job.query.forwarder
 	if r.reply != nil {
 		f.observeLimit(now, flight, r.reply.Metadata)
+		f.observeLeaving(now, a.target, r.reply.Metadata)
 	}
 	if r.reply != nil && r.reply.Metadata.IsWrongServer {
 		f.detachment.monitor.Answered(now)
--- a/internal/forwarder/connections.go
+++ b/internal/forwarder/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/warmer"
@@ -52,3 +54,13 @@
 		f.sender.Trim(a.Address, f.selector.Connections(a.Service))
 	}
 }
+
+// retainConnections closes the connections to servers that may no longer receive requests. Requests that wait
+// for one of them fail as not sent.
+func (f *Forwarder) retainConnections() {
+	addresses := map[netip.AddrPort]encoder.ServerID{}
+	for _, t := range f.selector.Addresses() {
+		addresses[t.Address] = t.ID
+	}
+	f.sender.Retain(addresses)
+}
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -45,6 +45,7 @@
 	if status == http.StatusMisdirectedRequest {
 		f.NotRun, f.IsWrongServer = true, true
 	}
+	f.IsLeaving = header.Get("Leaving") != ""
 	if limit := header.Get("Limit"); limit != "" {
 		f.LimitState = sender.LimitNamed
 		f.Limit, _ = strconv.ParseFloat(limit, 64)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -97,6 +97,8 @@
 	// connections must be kept to other servers than before.
 	onObserved       func()
 	onTargetsChanged func()
+	// onLeaving is called when a server said in a reply that it leaves.
+	onLeaving func(encoder.Registration)
 
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
@@ -151,6 +153,7 @@
 		work:             make(chan *attempt),
 		onObserved:       func() {},
 		onTargetsChanged: func() {},
+		onLeaving:        func(encoder.Registration) {},
 		reporter:         newReporter(log, metrics, clock.Now()),
 		routeStates:      map[matcher.RouteName]*routeState{},
 		batches:          map[batchKey]*batch{},
@@ -234,13 +237,7 @@
 // UpdateServers replaces the servers that requests may be sent to.
 func (f *Forwarder) UpdateServers(services map[identifier.ServiceName][]locator.Server) {
 	isChanged := f.selector.Update(services)
-	addresses := map[netip.AddrPort]encoder.ServerID{}
-	for _, servers := range services {
-		for _, s := range servers {
-			addresses[s.Address] = s.ID
-		}
-	}
-	f.sender.Retain(addresses)
+	f.retainConnections()
 	if isChanged {
 		f.onTargetsChanged()
 	}
--- a/internal/forwarder/serverlogger.go
+++ b/internal/forwarder/serverlogger.go
@@ -21,6 +21,9 @@
 	if b.Failures > 0 {
 		line = line.Int(recorder.FieldCount, b.Failures)
 	}
+	if b.Kind == selector.ServerLeaving {
+		line = line.Int64(recorder.FieldBorn, b.Born)
+	}
 	if b.Kind == selector.ServerLimited {
 		line = line.Float64(recorder.FieldLimit, b.Limit)
 	}
@@ -48,6 +51,8 @@
 		return recorder.EventServerReplaced
 	case selector.ServerOverCap:
 		return recorder.EventServerOverCap
+	case selector.ServerLeaving:
+		return recorder.EventServerLeaving
 	case selector.ServerUnlimited:
 		return recorder.EventServerUnlimited
 	}
--- a/internal/locator/departure.go
+++ b/internal/locator/departure.go
@@ -44,3 +44,21 @@
 	}
 	return []encoder.Registration{g.markLeft(now, e)}
 }
+
+// HasDeparted reports whether any keeper reports that a start of a server leaves or has left, or that the
+// server has started again since, or whether no keeper reports the server any more.
+func (c *Catalog) HasDeparted(start Start) bool {
+	isListed := false
+	for _, r := range c.keepers {
+		h, ok := r.servers[start.Server]
+		if !ok {
+			continue
+		}
+		known := h.registration
+		if known.Born > start.Born || known.Born == start.Born && known.State != encoder.PresenceReady {
+			return true
+		}
+		isListed = true
+	}
+	return !isListed
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -72,6 +72,10 @@
 	EventQuarantine = "request quarantined"
 	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
 	EventCrashUnconfirmed = "crash not confirmed"
+	// EventServerLeaving reports that a backend server said in a reply that it leaves.
+	EventServerLeaving = "server says that it leaves"
+	// EventLeavingUnreported reports that a dock failed to tell a keeper that a server leaves.
+	EventLeavingUnreported = "leaving server not reported"
 	// EventServerReplaced reports that another server replied at the address of a server.
 	EventServerReplaced = "server replaced"
 	// EventServerEnded reports that a server ended that had not answered some requests.
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -110,6 +110,7 @@
 	d.watcher = watcher.New(d.self(), settings.LinkSeeds(), d.pool, compile(adapter.Compile), d.forwarder, p.Clock, p.Log)
 	d.forwarder.SetTokenIssuer(d.watcher)
 	d.forwarder.OnDetached(d.watcher.SetDetached)
+	d.forwarder.OnLeaving(d.watcher.ReportLeaving)
 	d.forwarder.OnObserved(d.watcher.ScheduleObservations)
 	p.OnReload(d.reload)
 	p.Operator.AddCheck("configuration", d.checkReadiness)
@@ -160,6 +161,9 @@
 	m.Computed("selector.unreachable_servers", measurer.Count, "Backend servers to which this dock could not open connections lately.", func() int64 {
 		return int64(d.forwarder.Stats().Unreachable)
 	})
+	m.Computed("selector.leaving_servers", measurer.Count, "Backend servers that said within ten minutes, in replies, that they leave.", func() int64 {
+		return int64(d.forwarder.Stats().Leaving)
+	})
 	m.Computed("selector.limited_servers", measurer.Count, "Backend servers that name a limit of the requests that they take.", func() int64 {
 		return int64(d.forwarder.Stats().Limited)
 	})
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -69,6 +69,8 @@
 	earlyLimits map[encoder.ServerID]earlyLimit
 	// observations holds what was observed since the last call of TakeObservations.
 	observations map[encoder.ServerID]*encoder.Observation
+	// departures holds the servers that said in replies that they leave.
+	departures map[encoder.ServerID]departure
 }
 
 // New returns a Selector for a host in a failure domain. Seed determines the random choices and the
@@ -89,11 +91,12 @@
 		connections:  map[identifier.ServiceName]int{},
 		earlyLimits:  map[encoder.ServerID]earlyLimit{},
 		observations: map[encoder.ServerID]*encoder.Observation{},
+		departures:   map[encoder.ServerID]departure{},
 	}
 }
 
-// Update replaces the servers of all services and reports whether the servers of any remaining or
-// new service changed. The state of a server is kept if neither its start time nor its address
+// Update replaces the servers of all services, except those that said that they leave, and reports whether
+// the servers of any remaining or new service changed. The state of a server is kept if neither its start time nor its address
 // changed.
 func (s *Selector) Update(services map[identifier.ServiceName][]locator.Server) (isChanged bool) {
 	s.mutex.Lock()
@@ -103,6 +106,9 @@
 	s.services = make(map[identifier.ServiceName][]*server, len(services))
 	for name, list := range services {
 		for _, info := range list {
+			if s.hasLeft(info) {
+				continue
+			}
 			v := s.servers[info.ID]
 			if v == nil || v.info.Born != info.Born || v.info.Address != info.Address {
 				v = &server{}
--- a/internal/selector/serverevent.go
+++ b/internal/selector/serverevent.go
@@ -32,6 +32,8 @@
 	ServerReplaced // replaced
 	// ServerOverCap means that the server reset a new connection, because it accepts no more.
 	ServerOverCap // over_cap
+	// ServerLeaving means that the server said in a reply that it leaves, so that it gets no more requests.
+	ServerLeaving // leaving
 )
 
 // ServerEvent is a change of the state in which this host sees a server.
@@ -47,6 +49,8 @@
 	Failures int
 	// Limit is the limit that the server named, in requests per second. It is zero for other events.
 	Limit float64
+	// Born identifies the start of a server that leaves. It is zero for other events.
+	Born int64
 }
 
 // OnServerEvent sets the function that is called at each server event. The function must not block
--- a/internal/selector/servereventkind_enumer.go
+++ b/internal/selector/servereventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_cap"
+const _ServerEventKindName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_capleaving"
 
-var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59, 67, 75}
+var _ServerEventKindIndex = [...]uint8{0, 11, 18, 23, 30, 34, 43, 50, 59, 67, 75, 82}
 
-const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_cap"
+const _ServerEventKindLowerName = "unreachablereachedtakendroppedslowrecoveredlimitedunlimitedreplacedover_capleaving"
 
 func (i ServerEventKind) String() string {
 	if i >= ServerEventKind(len(_ServerEventKindIndex)-1) {
@@ -34,9 +34,10 @@
 	_ = x[ServerUnlimited-7]
 	_ = x[ServerReplaced-8]
 	_ = x[ServerOverCap-9]
+	_ = x[ServerLeaving-10]
 }
 
-var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited, ServerReplaced, ServerOverCap}
+var _ServerEventKindValues = []ServerEventKind{ServerUnreachable, ServerReachable, ServerAdded, ServerRemoved, ServerSlow, ServerRecovered, ServerLimited, ServerUnlimited, ServerReplaced, ServerOverCap, ServerLeaving}
 
 var _ServerEventKindNameToValueMap = map[string]ServerEventKind{
 	_ServerEventKindName[0:11]:  ServerUnreachable,
@@ -49,6 +50,7 @@
 	_ServerEventKindName[50:59]: ServerUnlimited,
 	_ServerEventKindName[59:67]: ServerReplaced,
 	_ServerEventKindName[67:75]: ServerOverCap,
+	_ServerEventKindName[75:82]: ServerLeaving,
 }
 
 var _ServerEventKindLowerNameToValueMap = map[string]ServerEventKind{
@@ -62,6 +64,7 @@
 	_ServerEventKindLowerName[50:59]: ServerUnlimited,
 	_ServerEventKindLowerName[59:67]: ServerReplaced,
 	_ServerEventKindLowerName[67:75]: ServerOverCap,
+	_ServerEventKindLowerName[75:82]: ServerLeaving,
 }
 
 var _ServerEventKindNames = []string{
@@ -75,6 +78,7 @@
 	_ServerEventKindName[50:59],
 	_ServerEventKindName[59:67],
 	_ServerEventKindName[67:75],
+	_ServerEventKindName[75:82],
 }
 
 // ServerEventKindString retrieves an enum value from the enum constants string name.
--- a/internal/selector/stats.go
+++ b/internal/selector/stats.go
@@ -10,6 +10,8 @@
 	Slow    int
 	// Unreachable is the number of servers to which no connection could be opened lately.
 	Unreachable int
+	// Leaving is the number of servers that said lately that they leave.
+	Leaving int
 	// Limited is the number of servers that name a limit.
 	Limited int
 	// Repeats is the smallest number of repeats left in any service's budget, or a full burst if no
@@ -21,7 +23,7 @@
 func (s *Selector) Stats(now time.Time) Stats {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	stats := Stats{Servers: len(s.servers), Slow: len(s.slowServers), Repeats: s.allowance("").burst}
+	stats := Stats{Servers: len(s.servers), Slow: len(s.slowServers), Leaving: len(s.departures), Repeats: s.allowance("").burst}
 	for _, v := range s.servers {
 		if v.limit.IsNamed {
 			stats.Limited++
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -94,6 +94,8 @@
 	NotRun bool
 	// IsWrongServer is true if the address belongs to a different server.
 	IsWrongServer bool
+	// IsLeaving is true if the server that sent the reply is shutting down and must get no more requests.
+	IsLeaving bool
 	// LimitState tells whether the reply names a limit of the requests that the server takes from all
 	// docks together, and Limit is that limit in requests per second.
 	LimitState LimitState
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -122,6 +122,8 @@
 	// increases with each change of it.
 	isDetached    bool
 	detachVersion uint64
+	// leaving are the servers that said in replies that they leave, as long as the keepers must be told.
+	leaving map[locator.Start]*leavingServer
 	// wasFresh is the result of IsFresh that was logged last.
 	wasFresh bool
 }
@@ -147,10 +149,12 @@
 
 		detachChanged: make(chan struct{}, 1),
 		limitsDigest:  encoder.NoLimits,
+		leaving:       map[locator.Start]*leavingServer{},
 	}
 	w.SetSeeds(seeds)
-	w.tasks.Add(3)
+	w.tasks.Add(4)
 	go w.loop()
+	go (&leavingReporter{w}).loop()
 	go (&observer{w}).loop()
 	go (&detachReporter{Watcher: w, acknowledged: map[netip.AddrPort]uint64{}}).loop()
 	return w
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -31,11 +31,13 @@
 	broadcaster *broadcaster.Broadcaster
 	server      *linker.Server
 
-	mutex    sync.Mutex
-	number   uint64
-	fetches  int
-	isLeader bool
-	members  []encoder.KeeperMember
+	mutex   sync.Mutex
+	number  uint64
+	fetches int
+	// departures counts the messages that a server leaves.
+	departures int
+	isLeader   bool
+	members    []encoder.KeeperMember
 }
 
 // startKeeper starts a keeper at an address. Port 0 selects a free one.
@@ -58,6 +60,13 @@
 		k.broadcaster.ReportCrashes(peer.Incarnation, r)
 		return encoder.CrashReportReply{}, nil
 	})
+	linker.Handle(mux, encoder.KindDepart, func(_ context.Context, _ linker.Peer, r encoder.Registration) (encoder.DepartReply, error) {
+		k.mutex.Lock()
+		k.departures++
+		k.mutex.Unlock()
+		k.broadcaster.MergeDeparture(r)
+		return encoder.DepartReply{}, nil
+	})
 	linker.Handle(mux, encoder.KindObserve, func(_ context.Context, _ linker.Peer, n encoder.ObserveNotice) (struct{}, error) {
 		k.broadcaster.Observe(n)
 		return struct{}{}, nil
