A stopping dock answers each request that it has taken

Other operators reported: in a planned stop, requests that come late in the grace are taken and passed on, and cut at its end with no answer, among them such that may run only once (LOST).

Cause, by reading: the end of the dock's time was known to its HTTP server only. After drain_grace and finish_timeout it closed the connections of whatever was in progress; so it did with the links of delegated batches.

Change: the forwarder is told when the dock's time ends. Deadlines are not later; then each query returns what it has, as at its timeout, and the connections close 300 ms after. A request of a route that usually takes longer than what is left is refused at once as not run (reason "stopping"). At its end, and at its timeout, a scattered query delivers parts that reach the coverage instead of a failure.

--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -144,7 +144,7 @@
 		configurationNumber: r.Configuration,
 		request:             &Request{Request: sender.Request{ID: r.Request}, Arrived: now, Timeout: r.Remaining},
 		prepared:            &sender.PreparedRequest{ID: r.Request, Method: r.Method, Head: r.Head, Body: r.Body},
-		deadline:            now.Add(r.Remaining),
+		deadline:            f.ending.limit(now.Add(r.Remaining)),
 		finished:            make(chan struct{}),
 		isReplacement:       r.IsReplacement,
 		isLimitedToOneRun:   true,
@@ -184,7 +184,7 @@
 	q.run(b, q.services()...)
 	q.finish()
 	f.reporter.reportBatch(q, f.clock.Now())
-	b.end()
+	b.finish()
 	b.awaitDelivery()
 	f.mutex.Lock()
 	delete(f.batches, key)
@@ -204,8 +204,8 @@
 	}
 }
 
-// end marks the batch as done and wakes a waiting handler.
-func (b *batch) end() {
+// finish marks the batch as done and wakes a waiting handler.
+func (b *batch) finish() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.isDone = true
@@ -240,7 +240,7 @@
 	defer b.mutex.Unlock()
 	q := b.query
 	if !now.Before(q.deadline) || b.isAbandoned(now) {
-		return Failed{Reason: ReasonTimeout}, now
+		return b.end(), now
 	}
 	if q.hasJobAwaitingPermit() {
 		b.markReplyDue()
@@ -258,6 +258,9 @@
 	return nil, next
 }
 
+// end returns a failure: the delegating dock gets the parts received so far.
+func (b *batch) end() Outcome { return Failed{Reason: ReasonTimeout} }
+
 // isCritical returns true, because only the delegating dock can determine whether the answer
 // needs a shard.
 func (b *batch) isCritical() bool { return true }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -100,6 +100,8 @@
 	// onLeaving is called when a server said in a reply that it leaves.
 	onLeaving func(encoder.Registration)
 
+	ending ending
+
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
 
@@ -161,6 +163,7 @@
 		accuser:          accuser.New(),
 		owners:           &owners{self: settings.Host, peers: settings.Peers, suspectedUntil: map[netip.AddrPort]time.Time{}},
 	}
+	f.ending.ctx, f.ending.cancel = context.WithCancel(ctx)
 	f.tokens = &tokens{forwarder: f}
 	f.detachment = newDetachment(f)
 	f.relays = &relays{inFlight: map[netip.AddrPort]int{}}
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -43,6 +43,8 @@
 	// ReasonNoSender means that this dock may not connect to the servers, and no dock that may was
 	// available.
 	ReasonNoSender
+	// ReasonStopping means that this host stops before an answer can be expected.
+	ReasonStopping
 	// ReasonCallerLeft means that the caller no longer waits for the answer.
 	ReasonCallerLeft
 )
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -106,6 +106,8 @@
 	// checkTime returns the outcome if one is due at a moment. Otherwise it returns nil and the
 	// time of the next check.
 	checkTime(now time.Time) (Outcome, time.Time)
+	// end returns the outcome if no more results are awaited.
+	end() Outcome
 	// isCritical reports whether the query fails if one more job fails.
 	isCritical() bool
 }
@@ -116,6 +118,7 @@
 	if r.Timeout > 0 && r.Timeout < route.Timeout {
 		deadline = r.Arrived.Add(r.Timeout)
 	}
+	deadline = f.ending.limit(deadline)
 	q := &query{
 		forwarder: f, table: t, configurationNumber: t.Number(), route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
 		finished: make(chan struct{}), fingerprints: newFingerprints(&r.Request),
@@ -163,6 +166,9 @@
 	if quarantineRemaining := f.crashTracker.quarantineRemaining(f.clock.Now(), q.fingerprints); quarantineRemaining > 0 {
 		return Refused{After: quarantineRemaining, Reason: ReasonQuarantined}
 	}
+	if f.cannotEnd(q.route) {
+		return Refused{After: minRetryAfter, Reason: ReasonStopping}
+	}
 	if f.IsDetached() && q.canRelay() {
 		if o := q.relay(0); o != nil {
 			return o
@@ -264,6 +270,8 @@
 		return q.allowRepeats(q.forwarder.clock.Now())
 	case <-wake:
 		return nil
+	case <-q.forwarder.ending.ctx.Done():
+		return q.collector.end()
 	case <-q.ctx.Done():
 		return Failed{Reason: ReasonCallerLeft}
 	}
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_sendercaller_left"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_left"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 117}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 114, 125}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_sendercaller_left"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_left"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -37,10 +37,11 @@
 	_ = x[ReasonLimited-10]
 	_ = x[ReasonSuspected-11]
 	_ = x[ReasonNoSender-12]
-	_ = x[ReasonCallerLeft-13]
+	_ = x[ReasonStopping-13]
+	_ = x[ReasonCallerLeft-14]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonCallerLeft}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonStopping, ReasonCallerLeft}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -56,7 +57,8 @@
 	_ReasonName[81:88]:   ReasonLimited,
 	_ReasonName[88:97]:   ReasonSuspected,
 	_ReasonName[97:106]:  ReasonNoSender,
-	_ReasonName[106:117]: ReasonCallerLeft,
+	_ReasonName[106:114]: ReasonStopping,
+	_ReasonName[114:125]: ReasonCallerLeft,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -73,7 +75,8 @@
 	_ReasonLowerName[81:88]:   ReasonLimited,
 	_ReasonLowerName[88:97]:   ReasonSuspected,
 	_ReasonLowerName[97:106]:  ReasonNoSender,
-	_ReasonLowerName[106:117]: ReasonCallerLeft,
+	_ReasonLowerName[106:114]: ReasonStopping,
+	_ReasonLowerName[114:125]: ReasonCallerLeft,
 }
 
 var _ReasonNames = []string{
@@ -90,7 +93,8 @@
 	_ReasonName[81:88],
 	_ReasonName[88:97],
 	_ReasonName[97:106],
-	_ReasonName[106:117],
+	_ReasonName[106:114],
+	_ReasonName[114:125],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -160,9 +160,9 @@
 }
 
 // isLocalReason reports whether a dock refused a request for a reason that another dock may not have: it
-// knows or reaches no server, or may not connect to any.
+// knows or reaches no server, may not connect to any, or is stopping.
 func isLocalReason(reason string) bool {
-	return reason == ReasonNoServer.String() || reason == ReasonNoSender.String()
+	return reason == ReasonNoServer.String() || reason == ReasonNoSender.String() || reason == ReasonStopping.String()
 }
 
 // relayFailure returns the outcome of a request that another dock took and did not answer.
@@ -175,6 +175,8 @@
 		return Failed{Reason: ReasonTimeout}
 	case q.ctx.Err() != nil:
 		return Failed{Reason: ReasonCallerLeft}
+	case f.ending.ctx.Err() != nil:
+		return Failed{Reason: ReasonStopping}
 	default:
 		f.owners.markSuspect(now, dock)
 		return Failed{Reason: ReasonLost}
@@ -188,6 +190,7 @@
 	defer f.relays.count(dock.Address, -1)
 	ctx, cancel := context.WithDeadline(q.ctx, q.giveUpAt())
 	defer cancel()
+	defer context.AfterFunc(f.ending.ctx, cancel)()
 	r := &q.request.Request
 	return f.owners.peers.Relay(ctx, dock.Address, encoder.RelayRequest{
 		Request: r.ID, Method: r.Method, Target: r.Target, Path: q.request.Path, Host: r.Host,
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -68,7 +68,7 @@
 func (c *scatterCollector) checkTime(now time.Time) (Outcome, time.Time) {
 	q := c.query
 	if !now.Before(q.giveUpAt()) {
-		return c.insufficientCoverage(), now
+		return c.end(), now
 	}
 	if q.target.IsZero() {
 		// Without a target, the query waits for all parts or for the end of its time.
@@ -89,6 +89,10 @@
 	return nil, q.giveUpAt()
 }
 
+// end returns the answer with the parts received so far, or a failure if they do not reach the required
+// coverage.
+func (c *scatterCollector) end() Outcome { return c.answer() }
+
 // isCritical reports whether the required coverage is out of reach if one more shard fails.
 func (c *scatterCollector) isCritical() bool {
 	return !c.hasCoverage(len(c.destination.Services) - c.failedShards - 1)
--- a/internal/forwarder/single.go
+++ b/internal/forwarder/single.go
@@ -45,15 +45,19 @@
 // isCritical returns true, because there is only one job.
 func (c *singleCollector) isCritical() bool { return true }
 
-// checkTime returns an outcome when the query must be given up: Failed if a server may have run
-// the request, Refused otherwise.
+// checkTime returns an outcome when the query must be given up.
 func (c *singleCollector) checkTime(now time.Time) (Outcome, time.Time) {
 	giveUp := c.query.giveUpAt()
 	if now.Before(giveUp) {
 		return nil, giveUp
 	}
+	return c.end(), giveUp
+}
+
+// end returns Failed if a server may have run the request, and Refused otherwise.
+func (c *singleCollector) end() Outcome {
 	if !c.query.endUnsent() {
-		return Failed{Reason: ReasonTimeout}, giveUp
+		return Failed{Reason: ReasonTimeout}
 	}
-	return Refused{After: defaultRetryAfter, Reason: ReasonTimeout}, giveUp
+	return Refused{After: defaultRetryAfter, Reason: ReasonTimeout}
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -72,6 +72,8 @@
 	EventQuarantine = "request quarantined"
 	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
 	EventCrashUnconfirmed = "crash not confirmed"
+	// EventRequestsEnd reports that a stopping dock ends the requests that are still in progress.
+	EventRequestsEnd = "requests in progress end"
 	// EventServerLeaving reports that a backend server said in a reply that it leaves.
 	EventServerLeaving = "server says that it leaves"
 	// EventLeavingUnreported reports that a dock failed to tell a keeper that a server leaves.
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -32,6 +32,8 @@
 const (
 	// headerTimeout bounds how long a client may take to send the headers of a request.
 	headerTimeout = 10 * time.Second
+	// answerTime is how long the final answers to the requests that a stopping dock ends may take.
+	answerTime = 300 * time.Millisecond
 	// idleTimeout is how long a client's idle connection stays open. Callers stop reusing an idle
 	// connection much earlier.
 	idleTimeout = 90 * time.Second
@@ -242,14 +244,15 @@
 }
 
 // Close drains the dock: it turns readiness off, keeps serving for the drain grace period so that
-// the load balancer notices, waits for in-flight requests up to the finish timeout, and closes all
-// components.
+// the load balancer notices, waits for in-flight requests up to the finish timeout, when those that are left
+// get their final answers, and closes all components.
 func (d *Dock) Close() error {
 	d.isStopping.Store(true)
+	d.forwarder.EndAt(d.process.Clock.Now().Add(d.settings.DrainGrace + d.settings.FinishTimeout))
 	d.process.Log.Info().Dur(recorder.FieldPause, d.settings.DrainGrace).Msg(recorder.EventReadinessOff)
 	grace := d.process.Clock.NewTimer(d.settings.DrainGrace)
 	<-grace.C
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.FinishTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.FinishTimeout+answerTime)
 	defer cancel()
 	for _, s := range d.servers {
 		s.shutdown(ctx)
