Keepers refuse heartbeats that name no server to use

Other operators reported: one odd entry of another writer, very deeply nested, with a number too large or a port out of range, ended the machines that read the list, or made them stop following it.

Looked for here: nested ones, numbers beyond their types and ports out of range were refused already. Accepted were IDs with line breaks, which docks send in a header of each request; starts in the future, whose server no other one could follow at its address; port 0 and the unspecified address; IDs and names of many kilobytes, some hundreds of which would not fit into one message to docks.

--- a/internal/responder/announcement.go
+++ b/internal/responder/announcement.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
 
 	"github.com/rotisserie/eris"
 
@@ -70,9 +69,9 @@
 	if err := decoder.Decode(&b); err != nil {
 		return encoder.Server{}, eris.Wrapf(errAnnouncement, "%v", err)
 	}
-	address, err := netip.ParseAddrPort(b.Address)
-	if err != nil {
-		return encoder.Server{}, fieldError("address", "is not an IP number and port")
+	address, ok := identifier.ParseServerAddress(b.Address)
+	if !ok {
+		return encoder.Server{}, fieldError("address", "is not an IP number and port that a server can listen at")
 	}
 	state, err := encoder.ServerStateString(b.State)
 	if err != nil {
--- a/internal/responder/responder_test.go
+++ b/internal/responder/responder_test.go
@@ -153,6 +153,11 @@
 		assert.ErrorContains(t, err, fault)
 	}
 	expectRefused(`127.0.1.7:7000`, `plates.example:7000`, "address")
+	for _, address := range []string{"127.0.1.7:65536", "127.0.1.7:0", "0.0.0.0:7000", "[::]:7000", "224.0.0.1:7000", "[fe80::1%a]:7000"} {
+		expectRefused(`127.0.1.7:7000`, address, "address")
+	}
+	expectRefused(`"slots":2`, `"slots":9223372036854775808`, "slots")
+	expectRefused(`"holdings":[`, `"holdings":[`+strings.Repeat("[", 20_000), "")
 	expectRefused(`"ready"`, `"bored"`, "state")
 	expectRefused(`"http2"`, `"http9"`, "protocol")
 	expectRefused(`"plates"`, `""`, "service")
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -134,6 +134,9 @@
 	k.propagateDepartures(ctx, k.broadcaster.Deregister(id, born))
 }
 
+// Now returns the time by the keeper's clock.
+func (k *Keeper) Now() time.Time { return k.process.Clock.Now() }
+
 // ControlAddress returns the address to which backend servers send their heartbeats.
 func (k *Keeper) ControlAddress() netip.AddrPort { return k.settings.ControlAddress }
 
