Readiness goes off before a program sees the end

Cause: readiness was turned off by a function that runs beside those that wait for the same context. Now these wait for a context of their own, which ends after readiness is off.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -160,17 +160,23 @@
 	return ctx, stop
 }
 
-// run opens the operator's port, runs serve, and records and logs start and stop.
+// run opens the operator's port, runs serve, and records and logs start and stop. Once the context has ended,
+// readiness goes off before serve sees the end.
 func (p *Process) run(ctx context.Context, serve func(ctx context.Context) error) error {
 	if err := p.Operator.open(p.Settings.OperatorAddress); err != nil {
 		return err
 	}
-	unregister := context.AfterFunc(ctx, p.Operator.markStopping)
+	serveCtx, endServe := context.WithCancel(context.WithoutCancel(ctx))
+	defer endServe()
+	unregister := context.AfterFunc(ctx, func() {
+		p.Operator.markStopping()
+		endServe()
+	})
 	defer unregister()
 	p.Log.Info().Str("version", Version).Uint64("incarnation", uint64(p.Incarnation)).
 		Stringer("operator_address", p.Settings.OperatorAddress).Msg("started")
 	p.Events.Record(tracer.ProcessStarted, identifier.RequestID{}, "", tracer.F("version", Version))
-	err := serve(ctx)
+	err := serve(serveCtx)
 	p.Events.Record(tracer.ProcessStopped, identifier.RequestID{}, "")
 	p.Log.Info().Msg("stopped")
 	if closeErr := p.Operator.Close(); err == nil {
