A new keeper takes the place of the voter that is silent for longest

Cause: of several silent voters the first in the list was replaced, also if it merely stood still and another one was gone for long.

--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -195,8 +195,8 @@
 }
 
 // configurationWithVoter returns the configuration that gives a learner a vote: in place of its
-// inactive previous incarnation, as a further voter, or in place of any voter that has been
-// inactive for long. It returns false if no place is free.
+// inactive previous incarnation, as a further voter, or in place of the voter that has been
+// inactive for longest. It returns false if no place is free.
 func (c *core) configurationWithVoter(m Member) (Configuration, bool) {
 	configuration := c.configuration()
 	if predecessor, ok := configuration.voterNamed(m.Name); ok {
@@ -205,19 +205,30 @@
 	if len(configuration.Voters) < c.settings.Voters {
 		return configuration.add(m), true
 	}
-	for _, v := range configuration.Voters {
-		if c.isLongInactive(v.Incarnation) {
-			return configuration.replace(v, m), true
-		}
+	v, ok := c.longestInactive(configuration.Voters)
+	if !ok {
+		return Configuration{}, false
 	}
-	return Configuration{}, false
+	return configuration.replace(v, m), true
 }
 
-// isLongInactive reports whether a voter has not replied to this leader for
-// replaceAfterElections election timeouts, so that another member may replace it.
-func (c *core) isLongInactive(i identifier.Incarnation) bool {
-	p := c.peers[i]
-	return p != nil && c.now-p.lastReplyTick >= uint64(replaceAfterElections*c.settings.ElectionTicks)
+// longestInactive returns the voter that has not replied to this leader for longest, because the others
+// may only stand still. It returns false if all have replied within replaceAfterElections election
+// timeouts.
+func (c *core) longestInactive(voters []Member) (longest Member, ok bool) {
+	threshold := uint64(replaceAfterElections * c.settings.ElectionTicks)
+	longestSilence := uint64(0)
+	for _, v := range voters {
+		p := c.peers[v.Incarnation]
+		if p == nil {
+			continue
+		}
+		silence := c.now - p.lastReplyTick
+		if silence >= threshold && silence > longestSilence {
+			longest, longestSilence, ok = v, silence, true
+		}
+	}
+	return longest, ok
 }
 
 // changeConfiguration appends a configuration, which takes effect immediately.
--- a/internal/replicator/replacement_test.go
+++ b/internal/replicator/replacement_test.go
@@ -201,6 +201,36 @@
 	s.replaceWhileFrozen(s.processes[4], s.processes[2])
 }
 
+// TestLongestSilentVoterIsReplaced guards against a new host that takes the place of a voter that only stands
+// still, while another one has been gone for long.
+func TestLongestSilentVoterIsReplaced(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, goneFirst := range []bool{true, false} {
+			s := newReplaceableGroup(t, seed)
+			lead := s.leaderProcess()
+			others := slices.DeleteFunc(slices.Clone(s.processes), func(p *process) bool { return p == lead })
+			gone, frozen := others[0], others[1]
+			if !goneFirst {
+				gone, frozen = frozen, gone
+			}
+			gone.removeHost()
+			s.steps(60)
+			frozen.isFrozen = true
+			s.steps(40)
+			newHost := s.addHost()
+			s.eventually("the new host votes", func() bool { return s.isVoting(newHost) })
+			assert.Assert(t, s.isVoting(frozen) && !s.isVoting(gone), "seed %d", seed)
+		}
+	}
+}
+
+// steps advances the simulation by a number of ticks.
+func (s *simulation) steps(n int) {
+	for range n {
+		s.stepAndRejoin()
+	}
+}
+
 // disturb lets one of the usual faults of a replacement strike a process: it stands still, its disk
 // does, or its messages are lost in one direction.
 func (s *simulation) disturb(p *process) {
@@ -240,9 +270,7 @@
 
 // wait steps for a random time of at most a number of ticks.
 func (s *simulation) wait(most int) {
-	for range s.random.IntN(most) {
-		s.stepAndRejoin()
-	}
+	s.steps(s.random.IntN(most))
 }
 
 // replaceDisturbed replaces a host as planned, the new one first, while another one is disturbed and
