--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/forwarder"
+	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/matcher"
 )
 
@@ -77,6 +80,33 @@
 	assert.Equal(t, g.Missing, ownedShards/10)
 }
 
+// silentDocks are other docks that take requests and do not answer.
+type silentDocks struct {
+	forwarder.Peers
+}
+
+func (silentDocks) Relay(ctx context.Context, _ netip.AddrPort, _ encoder.RelayRequest) (encoder.RelayReply, error) {
+	<-ctx.Done()
+	return encoder.RelayReply{}, linker.ErrLost
+}
+
+// TestHandedOverRequestIsAnsweredAtTheEnd guards against a request that was handed over to another dock, and
+// whose caller's connection is cut off when the first dock stops.
+func TestHandedOverRequestIsAnsweredAtTheEnd(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	other := encoder.Dock{Host: "dock-0", Domain: "one", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	d.forwarder = d.newForwarder(forwarder.Settings{Domain: "one", Budget: ampleBudget, Seed: 1, Host: "dock-new", Peers: silentDocks{}})
+	d.forwarder.SetDocks(manyDocks, manyDomains)
+	d.forwarder.SetDomainDocks([]encoder.Dock{other})
+	d.addServer("plates", "a", answers("a"))
+	d.setRoute(matcher.Route{Destination: toPlates})
+	at := time.Now().Add(300 * time.Millisecond)
+	time.AfterFunc(100*time.Millisecond, func() { d.forwarder.EndAt(at) })
+	failed := expect[forwarder.Failed](t, d.get())
+	assert.Equal(t, failed.Reason, forwarder.ReasonStopping)
+	assert.Assert(t, time.Until(at).Abs() < maxEndDelay, "%s", time.Until(at))
+}
+
 // TestRequestThatCannotEndIsRefused guards against requests that a stopping dock takes and sends, though it
 // will have ended before they are usually answered.
 func TestRequestThatCannotEndIsRefused(t *testing.T) {
