A keeper that was told of a server's end does not count as hearing from it

Cause: when another server starts at the address of one that crashed, the keeper that sees it tells the others that the first is gone. Docks took these entries for a server that is alive, and the end as not seen by all keepers, so that it was no evidence against the requests that ran there; since "A departure counts at every keeper ..." also for one that had left. Such entries say nothing now.

Test: TestReplacedServerHasEndedForAllKeepers fails on the code before.

--- a/internal/locator/departure_test.go
+++ b/internal/locator/departure_test.go
@@ -127,3 +127,20 @@
 	d.catalog.Update(at(10*time.Second), keeperTwo, false, d.second.Sweep(at(10*time.Second)))
 	assert.Equal(t, len(d.catalog.Ended(at(10*time.Second))), 0)
 }
+
+// TestReplacedServerHasEndedForAllKeepers guards against a server that crashed and whose address another one has
+// taken being held for one that left, because other keepers were told that it is gone.
+func TestReplacedServerHasEndedForAllKeepers(t *testing.T) {
+	d := newDepartureTest()
+	d.beat(at(0), at(-time.Minute))
+	changed := d.second.RecordHeartbeat(at(time.Second), heartbeat("b", at(time.Second).UnixMilli(), 1))
+	d.catalog.Update(at(time.Second), keeperTwo, false, changed)
+	for _, r := range changed {
+		if r.State != encoder.PresenceReady {
+			d.catalog.Update(at(time.Second), keeperOne, false, d.first.MergeDeparture(at(time.Second), r))
+		}
+	}
+	ends := d.catalog.Ended(at(2 * time.Second))
+	assert.Equal(t, len(ends), 1)
+	assert.Equal(t, ends[0].Server, encoder.ServerID("a"))
+}
--- a/internal/locator/end.go
+++ b/internal/locator/end.go
@@ -34,11 +34,16 @@
 	left := map[encoder.ServerID]int64{}
 	for _, r := range c.keepers {
 		for id, h := range r.servers {
-			if !h.hasEnded() {
+			switch {
+			case h.hasLeft():
+				left[id] = max(left[id], h.registration.Born)
+				continue
+			case h.hasEnded():
+			case h.registration.State == encoder.PresenceGone:
+				// The keeper was told of an end that another one saw.
+				continue
+			default:
 				alive[id] = max(alive[id], h.registration.Born)
-				if h.registration.State == encoder.PresenceGone {
-					left[id] = max(left[id], h.registration.Born)
-				}
 				continue
 			}
 			e := End{Start: Start{Server: id, Born: h.registration.Born}, Earliest: h.silentSince, Latest: h.silentSince.Add(h.registration.EndWindow)}
@@ -72,6 +77,12 @@
 	}
 }
 
+// hasLeft reports whether the keeper got the server's departure. A server that it took for gone because another
+// one started at its address is silent.
+func (h timedRegistration) hasLeft() bool {
+	return h.registration.State == encoder.PresenceGone && !h.registration.Silent
+}
+
 // hasEnded reports whether the keeper saw the server's heartbeats cease, or another server at its
 // address, though it had not left. A keeper of an older release does not say since when.
 func (h timedRegistration) hasEnded() bool {
