A waiting request does not get the connection of a server that leaves

Cause: the connection was free for the next waiting request before the dock had evaluated the reply that says that its server leaves.

Now the server's connections are closed with the reply; the next server at the address gets others.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -243,6 +243,10 @@
 		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline}
 		reply, keep, err := x.run(ctx)
 		err = p.observe(c, err)
+		if err == nil && reply.Metadata.IsLeaving && !reply.Metadata.IsWrongServer {
+			// Otherwise a request that waits for the connection would be sent over it.
+			s.remove(p)
+		}
 		p.release(c, keep)
 		// A kept connection that had ended says nothing of the next one.
 		isDead := errors.Is(err, ErrNotSent) && !c.isNew && ctx.Err() == nil
@@ -288,6 +292,16 @@
 	}
 }
 
+// remove closes the pool of a server that leaves. The next server at the address gets a pool of its own.
+func (s *Sender) remove(p *pool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p.close()
+	if s.pools[p.address] == p {
+		delete(s.pools, p.address)
+	}
+}
+
 // Trim closes idle connections to an address as long as more than a number of connections are open.
 func (s *Sender) Trim(address netip.AddrPort, connections int) {
 	s.mutex.Lock()
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -35,7 +35,9 @@
 }
 
 func (plainProtocol) ParseMetadata(_ int, header http.Header) sender.ReplyMetadata {
-	return sender.ReplyMetadata{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	return sender.ReplyMetadata{
+		Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != "", IsLeaving: header.Get("Leaving") != "",
+	}
 }
 
 // fakeServer is a server whose replies are written by the function answer. It receives the
