A refused claim gets its key no more

Callers of a contract deployment whose request may run only once were answered "an earlier request under this key is running or was cut off" although nothing ran under the key, until the dock that held it without knowing ended.

Cause: a dock repeats a claim while it has no answer. A claim that was refused after an unanswered attempt was not released, so that the attempt, arriving late, could be granted to a request that had ended. And an entry of the ledger stores four releases of its key, so that after five a late attempt of the first was granted.

Evidence: the governor's random test now records the ledger's commands.

The replicated state is unchanged, since keepers of two releases would disagree about it otherwise. Ruled out: a wrong ledger (each reply follows from the commands), a wrong model (it allows what its rules allow).

TestRandomFaults: a dock's request arrives at most once, as on a link, but may arrive late (a copy is no case of the product); the model takes the late attempt of a refused claim into account; new check: no key is held by a request that was refused.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -105,20 +105,45 @@
 
 // Claim claims the key of a request. Only ClaimGranted permits the caller to dispatch the request,
 // and only once. If the context ends before a keeper has answered, Claim returns ErrNoQuorum and
-// releases the claim in the background, because it may have been granted.
+// releases the claim in the background, because it may have been granted. A claim that was refused
+// is also released if an earlier attempt may still arrive and be granted.
 func (c *Claimer) Claim(ctx context.Context, request encoder.ClaimRequest) (encoder.ClaimReply, error) {
 	if _, ok := registrar.KeyTime(request.Key); !ok {
 		return encoder.ClaimReply{Outcome: encoder.ClaimUndated}, nil
 	}
 	var reply encoder.ClaimReply
+	isAttemptOpen := false
 	isAnswered := c.callLeader(ctx, func(ctx context.Context, address netip.AddrPort) (netip.AddrPort, bool) {
 		var err error
 		reply, err = c.keepers.Claim(ctx, address, request)
-		return reply.Leader, err == nil && reply.Outcome != encoder.ClaimNoQuorum
+		isFinal := err == nil && reply.Outcome != encoder.ClaimNoQuorum
+		isAttemptOpen = isAttemptOpen || !isFinal
+		return reply.Leader, isFinal
 	})
-	if isAnswered {
-		return reply, nil
+	if !isAnswered {
+		c.release(request)
+		return encoder.ClaimReply{Outcome: encoder.ClaimNoQuorum}, ErrNoQuorum
+	}
+	if isAttemptOpen && mayBeGrantedLater(reply.Outcome) {
+		c.release(request)
+	}
+	return reply, nil
+}
+
+// mayBeGrantedLater reports whether a copy of a claim that was refused may still be granted. All
+// other outcomes of a key are final. A full ledger is left out: it grants nothing until its oldest
+// entries expire, and storing a release would make it grow.
+func mayBeGrantedLater(outcome encoder.ClaimOutcome) bool {
+	switch outcome {
+	case encoder.ClaimHeld, encoder.ClaimMismatch, encoder.ClaimAhead:
+		return true
+	default:
+		return false
 	}
+}
+
+// release releases a claim in the background.
+func (c *Claimer) release(request encoder.ClaimRequest) {
 	c.settleInBackground(encoder.SettleRequest{
 		Caller:   request.Caller,
 		Key:      request.Key,
@@ -126,7 +151,6 @@
 		Request:  request.Request,
 		Released: true,
 	})
-	return encoder.ClaimReply{Outcome: encoder.ClaimNoQuorum}, ErrNoQuorum
 }
 
 // Settle records the outcome of a claim. It returns ErrRefused if the ledger refuses the outcome.
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -36,6 +36,9 @@
 	isDown      bool
 	isReplyLost bool
 	attempts    int
+	// lostClaims is how many of the next claims are lost, areSettlesLost loses all settlements.
+	lostClaims     int
+	areSettlesLost bool
 }
 
 func apply[A any](k *fakeKeeper, c registrar.Command) (A, error) {
@@ -44,7 +47,7 @@
 	defer k.mutex.Unlock()
 	k.attempts++
 	var none A
-	if k.isDown {
+	if k.isDown || k.loses(c) {
 		return none, errLost
 	}
 	a, err := encoder.Decode[A](k.state.Apply(1, b))
@@ -71,6 +74,25 @@
 	k.isDown, k.isReplyLost = isDown, isReplyLost
 }
 
+// lose loses the next claims, and all settlements if areSettlesLost is set.
+func (k *fakeKeeper) lose(claims int, areSettlesLost bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lostClaims, k.areSettlesLost = claims, areSettlesLost
+}
+
+// loses reports whether a command is lost. The caller must hold the mutex.
+func (k *fakeKeeper) loses(c registrar.Command) bool {
+	if _, ok := c.(registrar.SettleCommand); ok {
+		return k.areSettlesLost
+	}
+	if k.lostClaims == 0 {
+		return false
+	}
+	k.lostClaims--
+	return true
+}
+
 // withClaimer runs a test with a claimer whose presumed leader is at the given address.
 func withClaimer(t *testing.T, leader netip.AddrPort, test func(t *testing.T, c *Claimer, k *fakeKeeper)) {
 	t.Helper()
@@ -132,6 +154,42 @@
 	})
 }
 
+// TestLateCopyOfARefusedClaimDoesNotKeepTheKey delays the first attempt of a claim until the second
+// one has been refused because another request holds the key. The claimant does not run its request
+// any more, so the late attempt must not take the key from the requests that follow, whether it
+// arrives before or after the release of the claim.
+func TestLateCopyOfARefusedClaimDoesNotKeepTheKey(t *testing.T) {
+	for name, isReleaseFirst := range map[string]bool{"before the release": false, "after the release": true} {
+		t.Run(name, func(t *testing.T) {
+			withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, k *fakeKeeper) {
+				expectClaim(t, c, claimOf(1), encoder.ClaimGranted)
+				k.lose(1, !isReleaseFirst)
+				expectClaim(t, c, claimOf(2), encoder.ClaimHeld)
+				time.Sleep(retryInterval / 2)
+				k.lose(0, false)
+				assert.NilError(t, c.Settle(t.Context(), encoder.SettleRequest{Caller: "c", Key: testKey, Holder: 1, Request: identifier.RequestID{1}, Released: true}))
+				late, err := k.Claim(t.Context(), leaderAddress, claimOf(2))
+				assert.NilError(t, err)
+				assert.Equal(t, late.Outcome == encoder.ClaimReleased, isReleaseFirst)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, c.Backlog(), 0)
+				expectClaim(t, c, claimOf(3), encoder.ClaimGranted)
+			})
+		})
+	}
+}
+
+// TestRefusedClaimIsReleasedOnlyAfterLostAttempts checks that a claim whose only attempt was
+// refused costs the keepers no second command.
+func TestRefusedClaimIsReleasedOnlyAfterLostAttempts(t *testing.T) {
+	withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, k *fakeKeeper) {
+		expectClaim(t, c, claimOf(1), encoder.ClaimGranted)
+		expectClaim(t, c, claimOf(2), encoder.ClaimHeld)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, k.attempts, 2)
+	})
+}
+
 func TestOutcomeIsSettledInTheBackground(t *testing.T) {
 	withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, k *fakeKeeper) {
 		expectClaim(t, c, claimOf(1), encoder.ClaimGranted)
--- /dev/null
+++ b/internal/governor/claim_test.go
@@ -0,0 +1,36 @@
+package governor_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"banyandock.example/banyandock/internal/encoder"
+)
+
+// TestLateClaimIsRefusedAfterManyReleases guards against a key that nobody can claim any more: five claims of
+// it were released, of which an entry of the ledger stores four, and then a copy of the first claim arrives.
+// Its dock does not wait for it, so that it must not be granted.
+func TestLateClaimIsRefusedAfterManyReleases(t *testing.T) {
+	const released = 5
+	withCluster(t, 3, 1, func(cl *cluster) {
+		d := cl.docks["d0"]
+		millis := time.Now().UnixMilli()
+		key := fmt.Sprintf("%08x-%04x-7000-8000-%012x", millis>>16, millis&0xffff, 1)
+		ctx, cancel := context.WithTimeout(cl.t.Context(), 10*time.Second)
+		defer cancel()
+		for request := range released {
+			q := newClaimRequest(d, key, request)
+			assert.NilError(cl.t, d.claimer.Settle(ctx, encoder.SettleRequest{Caller: q.Caller, Key: key, Holder: q.Holder, Request: q.Request, Released: true}))
+		}
+		late, err := d.claimer.Claim(ctx, newClaimRequest(d, key, 0))
+		assert.NilError(cl.t, err)
+		assert.Equal(cl.t, late.Outcome, encoder.ClaimReleased)
+		next, err := d.claimer.Claim(ctx, newClaimRequest(d, key, released))
+		assert.NilError(cl.t, err)
+		assert.Equal(cl.t, next.Outcome, encoder.ClaimGranted)
+	})
+}
--- a/internal/governor/cluster_test.go
+++ b/internal/governor/cluster_test.go
@@ -78,15 +78,31 @@
 	mutex    sync.Mutex
 	keepers  map[identifier.HostName]*keeper
 	accepted []acceptedManifest
+	commands commandLog
+	// openAttempts contains the claims of which an attempt ended without a final reply.
+	openAttempts map[claimOfKey]bool
+}
+
+// claimOfKey identifies a claim: the key and the request that claims it.
+type claimOfKey struct {
+	key      string
+	claimant registrar.Claimant
+}
+
+func newClaimOfKey(q encoder.ClaimRequest) claimOfKey {
+	return claimOfKey{q.Key, registrar.Claimant{Holder: q.Holder, Request: q.Request}}
 }
 
 func newCluster(t *testing.T, seed uint64, keepers, docks int) *cluster {
 	cl := &cluster{
-		t:       t,
-		network: newNetwork(seed),
-		disks:   map[identifier.HostName]*memory{},
-		docks:   map[identifier.HostName]*dock{},
-		keepers: map[identifier.HostName]*keeper{},
+		t:        t,
+		network:  newNetwork(seed),
+		disks:    map[identifier.HostName]*memory{},
+		docks:    map[identifier.HostName]*dock{},
+		keepers:  map[identifier.HostName]*keeper{},
+		commands: commandLog{start: time.Now(), commands: map[uint64]committedCommand{}},
+
+		openAttempts: map[claimOfKey]bool{},
 	}
 	for i := range keepers {
 		m := replicator.Member{
@@ -144,9 +160,16 @@
 func (o commitObserver) Apply(index uint64, command []byte) []byte {
 	result := o.Registrar.Apply(index, command)
 	o.cluster.recordAccepted(o.Manifest())
+	o.cluster.recordCommand(index, command, result)
 	return result
 }
 
+func (cl *cluster) recordCommand(index uint64, command, result []byte) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.commands.record(index, command, result)
+}
+
 func (cl *cluster) recordAccepted(m encoder.ManifestText) {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
@@ -164,6 +187,21 @@
 	cl.accepted = append(cl.accepted, acceptedManifest{m, time.Now()})
 }
 
+// recordOpenAttempt records that an attempt of a claim ended without a final reply, so that the
+// keepers may still receive it.
+func (cl *cluster) recordOpenAttempt(q encoder.ClaimRequest) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.openAttempts[newClaimOfKey(q)] = true
+}
+
+// hasOpenAttempt reports whether the keepers may still receive an attempt of a claim.
+func (cl *cluster) hasOpenAttempt(q encoder.ClaimRequest) bool {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	return cl.openAttempts[newClaimOfKey(q)]
+}
+
 // highestAccepted returns the highest number of the manifests committed by a time.
 func (cl *cluster) highestAccepted(at time.Time) uint64 {
 	cl.mutex.Lock()
--- a/internal/governor/handlers.go
+++ b/internal/governor/handlers.go
@@ -60,8 +60,11 @@
 
 // Claim claims a key in the ledger, so that the request may be dispatched. It is idempotent. If
 // the key is held by a dock process that is no longer in the directory, the key becomes in doubt.
-// The outcome is ClaimNoQuorum if a proposal failed; the error is always nil.
+// A late copy of a claim that was released is not proposed. The outcome is ClaimNoQuorum if a proposal failed; the error is always nil.
 func (g *Governor) Claim(ctx context.Context, request encoder.ClaimRequest) (encoder.ClaimReply, error) {
+	if g.registrar.HasReleased(request) {
+		return encoder.ClaimReply{Outcome: encoder.ClaimReleased}, nil
+	}
 	command := registrar.NewClaimCommand(request, g.clock.Now(), g.limits)
 	reply, err := propose[encoder.ClaimReply](ctx, g, command)
 	if err == nil && reply.Outcome == encoder.ClaimHeld && !g.isHolderPresent(ctx, reply) {
--- a/internal/governor/history_test.go
+++ b/internal/governor/history_test.go
@@ -56,9 +56,17 @@
 	return counts
 }
 
+// checkTimeout is the longest time that a check of a history may take.
+const checkTimeout = 20 * time.Second
+
+func (h *history) isLinearizable(model porcupine.NondeterministicModel) bool {
+	result, _ := porcupine.CheckOperationsVerbose(model.ToModel(), h.operations, checkTimeout)
+	return result == porcupine.Ok
+}
+
 func (h *history) expectLinearizable(t *testing.T, model porcupine.NondeterministicModel) {
 	t.Helper()
-	result, _ := porcupine.CheckOperationsVerbose(model.ToModel(), h.operations, 20*time.Second)
+	result, _ := porcupine.CheckOperationsVerbose(model.ToModel(), h.operations, checkTimeout)
 	if result != porcupine.Ok {
 		for _, o := range h.operations {
 			t.Logf("from %d to %d ns: %+v returns %v", o.Call, o.Return, o.Input, o.Output)
--- a/internal/governor/network_test.go
+++ b/internal/governor/network_test.go
@@ -18,13 +18,18 @@
 
 var errRefused = errors.New("connection refused")
 
+// lateFactor is how many times longer than other messages a late message may take.
+const lateFactor = 100
+
 // network simulates the links between hosts. It can drop, delay and duplicate messages.
 type network struct {
-	mutex     sync.Mutex
-	random    *rand.Rand
-	loss      float64
-	duplicate float64
-	delay     time.Duration
+	mutex  sync.Mutex
+	random *rand.Rand
+	loss   float64
+	// late is the share of the messages that arrive late. Of the keepers' own messages, a copy
+	// arrives in time as well.
+	late  float64
+	delay time.Duration
 	// cut contains the pairs of sender and receiver whose messages are dropped.
 	cut   map[[2]identifier.HostName]bool
 	tasks sync.WaitGroup
@@ -46,8 +51,8 @@
 		return nil
 	}
 	delays := []time.Duration{n.randomDelay(n.delay)}
-	if n.random.Float64() < n.duplicate {
-		delays = append(delays, n.randomDelay(100*n.delay))
+	if n.random.Float64() < n.late {
+		delays = append(delays, n.randomDelay(lateFactor*n.delay))
 	}
 	return delays
 }
@@ -60,13 +65,24 @@
 // send delivers each copy of a message after its delay, in a goroutine of its own.
 func (n *network) send(from, to identifier.HostName, deliver func()) {
 	for _, d := range n.arrivalDelays(from, to) {
-		n.tasks.Go(func() {
-			time.Sleep(d)
-			deliver()
-		})
+		n.deliverAfter(d, deliver)
+	}
+}
+
+// sendOnce delivers a message at most once, as a link does. A late message has no other copy.
+func (n *network) sendOnce(from, to identifier.HostName, deliver func()) {
+	if delays := n.arrivalDelays(from, to); len(delays) > 0 {
+		n.deliverAfter(delays[len(delays)-1], deliver)
 	}
 }
 
+func (n *network) deliverAfter(d time.Duration, deliver func()) {
+	n.tasks.Go(func() {
+		time.Sleep(d)
+		deliver()
+	})
+}
+
 // setCut cuts or restores the link in one direction.
 func (n *network) setCut(from, to identifier.HostName, isCut bool) {
 	n.mutex.Lock()
@@ -80,21 +96,21 @@
 	defer n.mutex.Unlock()
 	clear(n.cut)
 	n.loss = 0
-	n.duplicate = 0
+	n.late = 0
 	n.delay = 2 * time.Millisecond
 }
 
-// call sends a request over the network and returns the first reply that arrives. Requests and
-// replies may be lost or duplicated.
+// call sends a request over the network and returns its reply. Request and reply may be lost or
+// arrive late, also after ctx has ended.
 func call[A any](ctx context.Context, n *network, from, to identifier.HostName, serve func() (A, error)) (A, error) {
 	type result struct {
 		answer A
 		err    error
 	}
-	replies := make(chan result, 4)
-	n.send(from, to, func() {
+	replies := make(chan result, 1)
+	n.sendOnce(from, to, func() {
 		a, err := serve()
-		n.send(to, from, func() { replies <- result{a, err} })
+		n.sendOnce(to, from, func() { replies <- result{a, err} })
 	})
 	select {
 	case r := <-replies:
@@ -135,7 +151,11 @@
 }
 
 func (c keeperClient) Claim(ctx context.Context, address netip.AddrPort, q encoder.ClaimRequest) (encoder.ClaimReply, error) {
-	return callKeeper(ctx, c, address, func(k *keeper) (encoder.ClaimReply, error) { return k.governor.Claim(k.ctx, q) })
+	reply, err := callKeeper(ctx, c, address, func(k *keeper) (encoder.ClaimReply, error) { return k.governor.Claim(k.ctx, q) })
+	if err != nil || reply.Outcome == encoder.ClaimNoQuorum {
+		c.cluster.recordOpenAttempt(q)
+	}
+	return reply, err
 }
 
 func (c keeperClient) Settle(ctx context.Context, address netip.AddrPort, q encoder.SettleRequest) (encoder.SettleReply, error) {
--- a/internal/governor/random_faults_test.go
+++ b/internal/governor/random_faults_test.go
@@ -10,11 +10,13 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"banyandock.example/banyandock/internal/claimer"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/registrar"
 )
 
 const (
@@ -22,6 +24,12 @@
 	faultTime = 40 * time.Second
 	// dockCount is the number of docks.
 	dockCount = 4
+	// maxDelay is the longest delay of messages that are not late.
+	maxDelay = 200 * time.Millisecond
+	// releaseTime is how long a claim that no request holds may stay in the ledger without faults.
+	releaseTime = 5 * time.Second
+	// probeRequest is the number of the request that asks for the state of a key after the run.
+	probeRequest = 60
 )
 
 // faultRun is one random run: operators submit competing manifests and callers send requests with
@@ -36,6 +44,8 @@
 	stopping  chan struct{}
 	mutex     sync.Mutex
 	executed  map[string]int
+	granted   map[claimOfKey]bool
+	keys      map[string]bool
 	stopped   map[identifier.HostName]bool
 	maxNumber uint64
 }
@@ -75,6 +85,8 @@
 		random:   rand.New(rand.NewPCG(seed, 2)),
 		stopping: make(chan struct{}),
 		executed: map[string]int{},
+		granted:  map[claimOfKey]bool{},
+		keys:     map[string]bool{},
 		stopped:  map[identifier.HostName]bool{},
 	}
 	f.register.start = time.Now()
@@ -100,8 +112,12 @@
 	cl.expectConverged()
 	cl.expect("the last manifest is in force", 8*time.Second, func() bool { return cl.isInForce(cl.highestAccepted(time.Now())) })
 	t.Logf("%d manifests accepted; submissions %v; ledger %v", len(cl.accepted), f.register.countOutputs(), f.ledger.countOutputs())
+	f.expectNoForgottenHolders(t)
 	f.register.expectLinearizable(t, registerModel)
-	f.ledger.expectLinearizable(t, ledgerModel)
+	if !f.ledger.isLinearizable(ledgerModel) {
+		reportKeys(t, ledgerModel, f.ledger.operations, &cl.commands)
+		t.Error("the ledger's history is not linearizable")
+	}
 	for key, n := range f.executed {
 		if n > 1 {
 			t.Fatalf("%s ran %d times", key, n)
@@ -109,6 +125,25 @@
 	}
 }
 
+// expectNoForgottenHolders asserts that each key that is held after the run is held by a request to
+// which it was granted. A request that was refused does not know that it holds the key, so nothing
+// would ever free it.
+func (f *faultRun) expectNoForgottenHolders(t *testing.T) {
+	t.Helper()
+	f.cluster.advance(lateFactor*maxDelay + releaseTime)
+	d := f.cluster.docks[dockName(0)]
+	for key := range f.keys {
+		ctx, cancel := context.WithTimeout(t.Context(), releaseTime)
+		reply, err := d.claimer.Claim(ctx, newClaimRequest(d, key, probeRequest))
+		cancel()
+		assert.NilError(t, err)
+		holder := claimOfKey{key, registrar.Claimant{Holder: reply.Holder, Request: reply.HolderRequest}}
+		if reply.Outcome == encoder.ClaimHeld && !f.granted[holder] {
+			t.Errorf("%s is held by request %d at %s, which was not granted it; commands:\n%s", key, requestNumber(reply.HolderRequest), reply.HolderDock, f.cluster.commands.ofKey(key))
+		}
+	}
+}
+
 // injectFault causes a random fault or ends some earlier faults.
 func (f *faultRun) injectFault() {
 	cl := f.cluster
@@ -128,8 +163,8 @@
 	case 6:
 		cl.network.mutex.Lock()
 		cl.network.loss = []float64{0, 0.05, 0.2}[f.random.IntN(3)]
-		cl.network.duplicate = 0.1
-		cl.network.delay = []time.Duration{2, 20, 200}[f.random.IntN(3)] * time.Millisecond
+		cl.network.late = 0.1
+		cl.network.delay = []time.Duration{2 * time.Millisecond, 20 * time.Millisecond, maxDelay}[f.random.IntN(3)]
 		cl.network.mutex.Unlock()
 	case 7, 8:
 		if !f.stopped[m] {
@@ -234,26 +269,64 @@
 	}
 }
 
+// requestID returns the identifier of a caller's request, numbered from 0.
+func requestID(request int) identifier.RequestID { return identifier.RequestID{byte(request + 1)} }
+
+// requestNumber is the inverse of requestID.
+func requestNumber(id identifier.RequestID) int { return int(id[0]) - 1 }
+
+// newClaimRequest returns the claim of a key by a request at a dock.
+func newClaimRequest(d *dock, key string, request int) encoder.ClaimRequest {
+	return encoder.ClaimRequest{Caller: "c", Key: key, Body: 1, Dock: d.identity.Name, Holder: d.identity.Incarnation, Request: requestID(request)}
+}
+
 // attempt claims a key, runs the request for duration if the claim is granted, and settles the
 // claim. choice, between 0 and 1, selects the outcome: the claim is released without a run (below
 // 0.15), settled with a result, put in doubt (above 0.8) or never settled (above 0.9).
 func (f *faultRun) attempt(d *dock, key string, request int, choice float64, duration time.Duration) {
-	id := identifier.RequestID{byte(request + 1)}
-	q := encoder.ClaimRequest{Caller: "c", Key: key, Body: 1, Dock: d.identity.Name, Holder: d.identity.Incarnation, Request: id}
+	q := newClaimRequest(d, key, request)
+	f.mutex.Lock()
+	f.keys[key] = true
+	f.mutex.Unlock()
+	input := ledgerInput{key, "claim", request}
 	call := f.ledger.begin()
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	reply, err := d.claimer.Claim(ctx, q)
 	cancel()
 	if err != nil {
-		f.ledger.end(call, ledgerInput{key, "claim", request}, unknownOutput)
+		f.ledger.end(call, input, unknownOutput)
 		f.ledger.end(f.ledger.begin(), ledgerInput{key, "release", request}, unknownOutput)
 		return
 	}
-	f.ledger.end(call, ledgerInput{key, "claim", request}, reply.Outcome.String())
-	if reply.Outcome == encoder.ClaimInDoubt {
-		f.ledger.addRetry(call, ledgerInput{key, "claim", request})
+	f.ledger.end(call, input, reply.Outcome.String())
+	switch reply.Outcome {
+	case encoder.ClaimInDoubt:
+		f.ledger.addRetry(call, input)
+	case encoder.ClaimHeld:
+		f.recordLateAttempts(call, q, request)
+	case encoder.ClaimGranted:
+		f.run(d, q, request, choice, duration)
+	default:
+		// No late attempt changes the key after any other outcome.
+	}
+}
+
+// recordLateAttempts records that an earlier attempt of a claim that was refused may arrive later.
+// The dock then releases the claim.
+func (f *faultRun) recordLateAttempts(call int64, q encoder.ClaimRequest, request int) {
+	if !f.cluster.hasOpenAttempt(q) {
+		return
 	}
-	if reply.Outcome != encoder.ClaimGranted || d.isStopped() {
+	f.ledger.end(call, ledgerInput{q.Key, "claim", request}, unknownOutput)
+	f.ledger.end(f.ledger.begin(), ledgerInput{q.Key, "release", request}, unknownOutput)
+}
+
+// run runs a request whose claim was granted and settles the claim, as choice selects.
+func (f *faultRun) run(d *dock, q encoder.ClaimRequest, request int, choice float64, duration time.Duration) {
+	f.mutex.Lock()
+	f.granted[newClaimOfKey(q)] = true
+	f.mutex.Unlock()
+	if d.isStopped() {
 		return
 	}
 	if choice < 0.15 {
@@ -261,7 +334,7 @@
 		return
 	}
 	f.mutex.Lock()
-	f.executed[key]++
+	f.executed[q.Key]++
 	f.mutex.Unlock()
 	time.Sleep(duration)
 	switch {
@@ -269,7 +342,7 @@
 	case choice > 0.8:
 		f.settle(d, q, request, "doubt", encoder.SettleRequest{InDoubt: true})
 	default:
-		f.settle(d, q, request, "settle", encoder.SettleRequest{Result: []byte(key)})
+		f.settle(d, q, request, "settle", encoder.SettleRequest{Result: []byte(q.Key)})
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -30,6 +30,7 @@
 	mutex    sync.RWMutex
 	register register
 	ledger   ledger
+	releases releases
 }
 
 var _ replicator.StateMachine = (*Registrar)(nil)
@@ -50,6 +51,7 @@
 		invariants: invariants,
 		register:   register{invariants: invariants},
 		ledger:     newLedger(invariants),
+		releases:   newReleases(),
 	}
 	for _, o := range options {
 		o(r)
@@ -74,7 +76,7 @@
 	case ClaimCommand:
 		return r.encode(r.ledger.claim(c))
 	case SettleCommand:
-		return r.encode(r.ledger.settle(c))
+		return r.encode(r.settle(c))
 	}
 	return nil
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -229,6 +229,46 @@
 	expectSettle(t, r, settle(key, 1), encoder.SettleRefused)
 }
 
+// TestReleasesBeyondThoseOfAnEntryAreRemembered releases more claims of a key than its entry stores. A
+// late copy of the first one must still be known as released, because the ledger would grant it.
+func TestReleasesBeyondThoseOfAnEntryAreRemembered(t *testing.T) {
+	r, key := New(nil), testKey(0)
+	for holder := range releasedPerEntry + 1 {
+		q := settle(key, holder+1)
+		q.Released = true
+		expectSettle(t, r, q, encoder.SettleAccepted)
+	}
+	for holder := range releasedPerEntry + 1 {
+		assert.Assert(t, r.HasReleased(claim(key, 1, holder+1)))
+	}
+	assert.Assert(t, !r.HasReleased(claim(key, 1, releasedPerEntry+2)))
+	assert.Assert(t, !r.HasReleased(claim(testKey(time.Minute), 1, 1)))
+}
+
+// TestRefusedReleasesAreNotRemembered releases a claim that has been settled, which the ledger refuses.
+func TestRefusedReleasesAreNotRemembered(t *testing.T) {
+	r, key := New(func(string, string) {}), testKey(0)
+	expectClaim(t, r, claim(key, 1, 1), encoder.ClaimGranted)
+	expectSettle(t, r, settle(key, 1), encoder.SettleAccepted)
+	q := settle(key, 1)
+	q.Released = true
+	expectSettle(t, r, q, encoder.SettleRefused)
+	assert.Assert(t, !r.HasReleased(claim(key, 1, 1)))
+}
+
+func TestRememberedReleasesAreBounded(t *testing.T) {
+	releases := newReleases()
+	for i := range 2*maxReleases + 1 {
+		c := releasedClaim{claimant: Claimant{Holder: identifier.Incarnation(i)}}
+		releases.add(c)
+		releases.add(c)
+	}
+	assert.Equal(t, len(releases.known), maxReleases)
+	assert.Equal(t, len(releases.order), maxReleases)
+	assert.Assert(t, !releases.known[releasedClaim{claimant: Claimant{Holder: maxReleases}}])
+	assert.Assert(t, releases.known[releasedClaim{claimant: Claimant{Holder: maxReleases + 1}}])
+}
+
 func TestLargeResultsAreOmitted(t *testing.T) {
 	r, key := New(nil), testKey(0)
 	expectClaim(t, r, claim(key, 1, 1), encoder.ClaimGranted)
