A disk lost at the first start does not keep the keepers from forming a group

Cause: a keeper with may_form = false took the setting for a sign that a group exists, stored that and passed it on to every keeper with an empty log, which stored it for good. Also: a keeper with other seeds and an empty log delayed the formation for as long as it sent probes.

Fix: initial hosts store that their disks date from the first start and say so in their probes. A founder that runs since then may form the group; one that was started again needs a majority of such disks, two at least, with empty logs: an earlier group needed one of them for every commit. Otherwise it logs formation_refused.

--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -70,7 +70,7 @@
 	path := filepath.Join(t.TempDir(), "new", "folder")
 	j, s := open(t, path)
 	assert.Assert(t, s.State.Self != 0)
-	want := replicator.HardState{Self: s.State.Self, Group: 5, Term: 7, Vote: 9, GroupSeen: true}
+	want := replicator.HardState{Self: s.State.Self, Group: 5, Term: 7, Vote: 9, GroupSeen: true, FirstStart: true}
 	assert.NilError(t, j.SaveState(want))
 	j, s = reopen(t, j, path)
 	assert.DeepEqual(t, s.State, want)
--- a/internal/journaler/statefile.go
+++ b/internal/journaler/statefile.go
@@ -18,8 +18,9 @@
 	stateVersion = 1
 	stateSize    = 45
 
-	flagGroupSeen = 1
-	flagRemoved   = 2
+	flagGroupSeen  = 1
+	flagRemoved    = 2
+	flagFirstStart = 4
 )
 
 // flag returns bit if isSet is true, and else zero.
@@ -43,7 +44,7 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Group))
 	b = binary.BigEndian.AppendUint64(b, s.Term)
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Vote))
-	b = append(b, flag(s.GroupSeen, flagGroupSeen)|flag(s.Removed, flagRemoved))
+	b = append(b, flag(s.GroupSeen, flagGroupSeen)|flag(s.Removed, flagRemoved)|flag(s.FirstStart, flagFirstStart))
 	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
 }
 
@@ -61,12 +62,13 @@
 		return replicator.HardState{}, &CorruptError{File: stateName, Reason: "checksum"}
 	}
 	s := replicator.HardState{
-		Self:      identifier.Incarnation(binary.BigEndian.Uint64(b[8:])),
-		Group:     identifier.Incarnation(binary.BigEndian.Uint64(b[16:])),
-		Term:      binary.BigEndian.Uint64(b[24:]),
-		Vote:      identifier.Incarnation(binary.BigEndian.Uint64(b[32:])),
-		GroupSeen: b[40]&flagGroupSeen != 0,
-		Removed:   b[40]&flagRemoved != 0,
+		Self:       identifier.Incarnation(binary.BigEndian.Uint64(b[8:])),
+		Group:      identifier.Incarnation(binary.BigEndian.Uint64(b[16:])),
+		Term:       binary.BigEndian.Uint64(b[24:]),
+		Vote:       identifier.Incarnation(binary.BigEndian.Uint64(b[32:])),
+		GroupSeen:  b[40]&flagGroupSeen != 0,
+		Removed:    b[40]&flagRemoved != 0,
+		FirstStart: b[40]&flagFirstStart != 0,
 	}
 	if s.Self == 0 {
 		return replicator.HardState{}, &CorruptError{File: stateName, Offset: 8, Reason: "incarnation is zero"}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -65,9 +65,11 @@
 	confirmedRound uint64
 
 	// State of a founder, and of a follower that receives a snapshot. allEmptyTicks is the
-	// number of ticks for which all hosts have been known to have empty logs.
-	probes        map[identifier.HostName]receivedProbe
-	allEmptyTicks int
+	// number of ticks for which all hosts have been known to have empty logs. isFormationRefused is
+	// set while they do, but too many of them started with a new disk.
+	probes             map[identifier.HostName]receivedProbe
+	allEmptyTicks      int
+	isFormationRefused bool
 	// addresses are the addresses to which a member without a vote sends its probes.
 	addresses       map[identifier.HostName]netip.AddrPort
 	partialSnapshot *partialSnapshot
@@ -120,6 +122,7 @@
 	c.recordAddresses(settings.Known)
 	c.recordAddresses(settings.Initial)
 	c.recordAddresses(c.configuration().members())
+	c.recordFirstStart()
 	c.resetElectionTimeout()
 	return c
 }
--- a/internal/replicator/event.go
+++ b/internal/replicator/event.go
@@ -37,6 +37,9 @@
 	// EventStorageFailed means that storage failed. The replicator stops, except if only the
 	// read of a snapshot that a leader sends to a peer failed.
 	EventStorageFailed
+	// EventFormationRefused means that all hosts are present with empty logs, but that too few of them
+	// have kept their disks since the first start: a group may have existed.
+	EventFormationRefused
 )
 
 // Event is an occurrence that the replicator reports to the function of WithEvents.
--- a/internal/replicator/eventkind_enumer.go
+++ b/internal/replicator/eventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventKindName = "group_formedgroup_joinedelectedstepped_downfollowinglearner_addedreplacement_startedreplacement_committedremovedsnapshot_takensnapshot_sendingsnapshot_installedstorage_failed"
+const _EventKindName = "group_formedgroup_joinedelectedstepped_downfollowinglearner_addedreplacement_startedreplacement_committedremovedsnapshot_takensnapshot_sendingsnapshot_installedstorage_failedformation_refused"
 
-var _EventKindIndex = [...]uint8{0, 12, 24, 31, 43, 52, 65, 84, 105, 112, 126, 142, 160, 174}
+var _EventKindIndex = [...]uint8{0, 12, 24, 31, 43, 52, 65, 84, 105, 112, 126, 142, 160, 174, 191}
 
-const _EventKindLowerName = "group_formedgroup_joinedelectedstepped_downfollowinglearner_addedreplacement_startedreplacement_committedremovedsnapshot_takensnapshot_sendingsnapshot_installedstorage_failed"
+const _EventKindLowerName = "group_formedgroup_joinedelectedstepped_downfollowinglearner_addedreplacement_startedreplacement_committedremovedsnapshot_takensnapshot_sendingsnapshot_installedstorage_failedformation_refused"
 
 func (i EventKind) String() string {
 	if i >= EventKind(len(_EventKindIndex)-1) {
@@ -24,22 +24,23 @@
 // Re-run the stringer command to generate them again.
 func _EventKindNoOp() {
 	var x [1]struct{}
-	_ = x[EventGroupFormed-0]
-	_ = x[EventGroupJoined-1]
-	_ = x[EventElected-2]
-	_ = x[EventSteppedDown-3]
-	_ = x[EventFollowing-4]
-	_ = x[EventLearnerAdded-5]
-	_ = x[EventReplacementStarted-6]
-	_ = x[EventReplacementCommitted-7]
-	_ = x[EventRemoved-8]
-	_ = x[EventSnapshotTaken-9]
-	_ = x[EventSnapshotSending-10]
-	_ = x[EventSnapshotInstalled-11]
-	_ = x[EventStorageFailed-12]
+	_ = x[EventGroupFormed-(0)]
+	_ = x[EventGroupJoined-(1)]
+	_ = x[EventElected-(2)]
+	_ = x[EventSteppedDown-(3)]
+	_ = x[EventFollowing-(4)]
+	_ = x[EventLearnerAdded-(5)]
+	_ = x[EventReplacementStarted-(6)]
+	_ = x[EventReplacementCommitted-(7)]
+	_ = x[EventRemoved-(8)]
+	_ = x[EventSnapshotTaken-(9)]
+	_ = x[EventSnapshotSending-(10)]
+	_ = x[EventSnapshotInstalled-(11)]
+	_ = x[EventStorageFailed-(12)]
+	_ = x[EventFormationRefused-(13)]
 }
 
-var _EventKindValues = []EventKind{EventGroupFormed, EventGroupJoined, EventElected, EventSteppedDown, EventFollowing, EventLearnerAdded, EventReplacementStarted, EventReplacementCommitted, EventRemoved, EventSnapshotTaken, EventSnapshotSending, EventSnapshotInstalled, EventStorageFailed}
+var _EventKindValues = []EventKind{EventGroupFormed, EventGroupJoined, EventElected, EventSteppedDown, EventFollowing, EventLearnerAdded, EventReplacementStarted, EventReplacementCommitted, EventRemoved, EventSnapshotTaken, EventSnapshotSending, EventSnapshotInstalled, EventStorageFailed, EventFormationRefused}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:12]:    EventGroupFormed,
@@ -55,6 +56,7 @@
 	_EventKindName[126:142]: EventSnapshotSending,
 	_EventKindName[142:160]: EventSnapshotInstalled,
 	_EventKindName[160:174]: EventStorageFailed,
+	_EventKindName[174:191]: EventFormationRefused,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -71,6 +73,7 @@
 	_EventKindLowerName[126:142]: EventSnapshotSending,
 	_EventKindLowerName[142:160]: EventSnapshotInstalled,
 	_EventKindLowerName[160:174]: EventStorageFailed,
+	_EventKindLowerName[174:191]: EventFormationRefused,
 }
 
 var _EventKindNames = []string{
@@ -87,6 +90,7 @@
 	_EventKindName[126:142],
 	_EventKindName[142:160],
 	_EventKindName[160:174],
+	_EventKindName[174:191],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/internal/replicator/export_test.go
+++ b/internal/replicator/export_test.go
@@ -134,3 +134,6 @@
 	}
 	return e.engine.flush()
 }
+
+// Group returns the incarnation of the member that formed the group, or zero.
+func (e *Engine) Group() identifier.Incarnation { return e.engine.core.state.Group }
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -10,16 +11,36 @@
 // foundingTerm is the term of the entry that forms a group. No leader is elected in it.
 const foundingTerm = 1
 
+// minKeptDisks is the smallest number of hosts with disks from the first start that may form a group
+// later. The hosts of the settings may have become fewer since then; of the three of a first start, two
+// are a majority.
+const minKeptDisks = 2
+
 // receivedProbe is the last probe that the founder received from a host.
 type receivedProbe struct {
-	member     Member
-	group      identifier.Incarnation
-	receivedAt uint64
+	member       Member
+	group        identifier.Incarnation
+	startedLater bool
+	receivedAt   uint64
 }
 
 // hasEmptyLog reports whether this member has neither entries nor a snapshot.
 func (c *core) hasEmptyLog() bool { return c.log.last().Index == 0 }
 
+// recordFirstStart records that this member's disk has been in use since the first start of all hosts.
+func (c *core) recordFirstStart() {
+	if c.settings.StartedBefore || !c.hasEmptyLog() || c.state.FirstStart || !c.isInitial(c.self.Name) {
+		return
+	}
+	c.state.FirstStart = true
+	c.isStateDirty = true
+}
+
+// isInitial reports whether the settings name a host as one of the initial ones.
+func (c *core) isInitial(name identifier.HostName) bool {
+	return slices.Contains(c.settings.names(), name)
+}
+
 // founder returns the only host that may form a group: the first by name.
 func (c *core) founder() Member { return c.settings.Initial[0] }
 
@@ -67,11 +88,12 @@
 // sendProbe sends a probe to a host, whatever its incarnation.
 func (c *core) sendProbe(to Member, isReply bool) {
 	c.send(to, probe{
-		Members:   c.configuration().members(),
-		IsReply:   isReply,
-		Names:     c.settings.names(),
-		LastIndex: c.log.last().Index,
-		GroupSeen: c.state.GroupSeen,
+		Members:      c.configuration().members(),
+		IsReply:      isReply,
+		Names:        c.settings.names(),
+		LastIndex:    c.log.last().Index,
+		GroupSeen:    c.state.GroupSeen,
+		StartedLater: !c.state.FirstStart,
 	})
 }
 
@@ -98,12 +120,20 @@
 	if p.GroupSeen {
 		c.recordGroupSeen()
 	}
-	if p.LastIndex != 0 || p.GroupSeen || !slices.Equal(p.Names, c.settings.names()) {
+	if p.LastIndex != 0 || p.GroupSeen {
+		c.allEmptyTicks = 0
+		return
+	}
+	if !c.isInitial(m.From.Name) {
+		// A host that has no entry and no part in the formation does not delay it.
+		return
+	}
+	if !slices.Equal(p.Names, c.settings.names()) {
 		c.allEmptyTicks = 0
 		return
 	}
 	if c.founder().Name == c.self.Name {
-		c.probes[m.From.Name] = receivedProbe{member: m.From, group: m.Group, receivedAt: c.now}
+		c.probes[m.From.Name] = receivedProbe{member: m.From, group: m.Group, startedLater: p.StartedLater, receivedAt: c.now}
 		return
 	}
 	if m.From.Name == c.founder().Name {
@@ -127,8 +157,9 @@
 
 // tryFormGroup writes the group's first entry if every host of the settings has had an empty
 // log for FormationTicks and has accepted this incarnation of the founder. A host that has
-// entries, is missing or has accepted another incarnation prevents it. So does a report of an
-// existing group, because a group that lost its data must not be replaced by a new one.
+// entries, is missing or has accepted another incarnation prevents it. So do a report of an
+// existing group and disks that were lost, because a group that lost its data must not be replaced
+// by a new one.
 func (c *core) tryFormGroup() bool {
 	if c.state.GroupSeen {
 		return false
@@ -138,7 +169,7 @@
 		c.isStateDirty = true
 	}
 	voters, ok := c.foundingVoters()
-	if !ok {
+	if !ok || !c.isFirstGroup() {
 		c.allEmptyTicks = 0
 		return false
 	}
@@ -165,6 +196,33 @@
 	return voters, true
 }
 
+// isFirstGroup reports whether no group can have committed an entry before, given that all hosts have
+// empty logs. Only the founder forms a group, so none exists if it runs since the first start. If it was
+// started again, its settings may name other hosts than those of the first start, or its disk may be new:
+// then a majority must have kept their disks since the first start. An earlier group would need one of
+// them for every commit, and has stored nothing there.
+func (c *core) isFirstGroup() bool {
+	if !c.settings.StartedBefore {
+		return true
+	}
+	kept := 0
+	if c.state.FirstStart {
+		kept++
+	}
+	for _, m := range c.settings.Initial[1:] {
+		if !c.probes[m.Name].startedLater {
+			kept++
+		}
+	}
+	isFirst := kept >= minKeptDisks && 2*kept > len(c.settings.Initial)
+	if !isFirst && !c.isFormationRefused {
+		detail := fmt.Sprintf("%d of %d hosts have kept their disks since the first start", kept, len(c.settings.Initial))
+		c.options.onEvent(Event{Kind: EventFormationRefused, Term: c.state.Term, Detail: detail})
+	}
+	c.isFormationRefused = !isFirst
+	return isFirst
+}
+
 // formGroup appends the group's first entry, the initial configuration, and starts an election.
 func (c *core) formGroup(voters []Member) {
 	if c.state.Term < foundingTerm {
--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -52,6 +52,9 @@
 	LastIndex uint64
 	// GroupSeen means that the sender received a report that a group exists or existed.
 	GroupSeen bool
+	// StartedLater means that the sender's disk is not known to date from the first start of all
+	// hosts. A release that does not send it sets GroupSeen instead.
+	StartedLater bool
 	// Members are the voters known to the sender. They let the receiver find a group whose
 	// hosts are not in its settings.
 	Members []Member
--- a/internal/replicator/replacement_test.go
+++ b/internal/replicator/replacement_test.go
@@ -34,15 +34,18 @@
 func newReplaceableGroup(t testing.TB, seed uint64) *simulation {
 	s := newSimulation(t, seed, 3, faults{})
 	s.voters = replacementVoters
+	s.isFirstStartKnown = true
 	for _, p := range s.processes {
 		p.crash()
 		p.disk = newFakeDisk(s.random)
+		p.hasStarted = false
 		p.start()
 	}
 	for len(s.processes) < replacementVoters {
 		s.addHost()
 	}
 	s.eventually("all hosts vote", s.allPlacesHaveLiveVoters)
+	s.isRunning = true
 	return s
 }
 
@@ -77,14 +80,13 @@
 	}
 }
 
-// loseDisk restarts a process with an empty disk, which may not form a group.
+// loseDisk restarts a process with an empty disk.
 func (p *process) loseDisk() {
 	if p.engine != nil {
 		p.crash()
 	}
 	p.disk = newFakeDisk(p.simulation.random)
 	p.start()
-	p.afterStep(p.engine.ReportGroup())
 }
 
 // eventually steps until a condition holds.
--- a/internal/replicator/settings.go
+++ b/internal/replicator/settings.go
@@ -44,6 +44,10 @@
 	// Initial holds the hosts of the initial group, with zero incarnations. It must include
 	// Self unless Voters is set.
 	Initial []Member
+	// StartedBefore states that the hosts of the group have started before. An empty disk of this
+	// member is then new or a replacement, and proves nothing about the group. Without it, an empty
+	// disk means that this is the first start.
+	StartedBefore bool
 	// Known holds further members that may know the group. A member with an empty log finds its group
 	// through them if all hosts of Initial have been replaced.
 	Known []Member
--- a/internal/replicator/simulation_test.go
+++ b/internal/replicator/simulation_test.go
@@ -27,6 +27,13 @@
 	machine    *recordingRegister
 	isFrozen   bool
 	isIsolated bool
+	// hasStarted is set once the process has started for the first time.
+	hasStarted bool
+	// isFormerRelease lets the process behave as the release before, which reports a group when it is
+	// started again.
+	isFormerRelease bool
+	// hasReported is set once the process has reported a group.
+	hasReported bool
 	// isReturned is set once a replaced process is no longer isolated.
 	isReturned bool
 	// isGone is set once the host was removed for good.
@@ -87,7 +94,11 @@
 	now     int
 	initial []replicator.Member
 	// voters is the number of voters that the group grows to, or zero for the hosts of initial.
-	voters    int
+	voters int
+	// isFirstStartKnown lets the settings of the processes tell whether they have started before.
+	isFirstStartKnown bool
+	// isRunning is set once the first start of all hosts is over. Hosts that are added are then told so.
+	isRunning bool
 	processes []*process
 	inFlight  []inFlightMessage
 	cutLinks  map[[2]identifier.HostName]bool
@@ -177,8 +188,11 @@
 	if err != nil {
 		s.fail("open: %v", err)
 	}
+	startedBefore := s.isFirstStartKnown && (p.hasStarted || s.isRunning)
+	p.hasStarted = true
 	settings := replicator.Settings{
-		Self: p.member, Initial: s.initial, HeartbeatTicks: 2, ElectionTicks: 10, FormationTicks: 20,
+		StartedBefore: startedBefore && !p.isFormerRelease,
+		Self:          p.member, Initial: s.initial, HeartbeatTicks: 2, ElectionTicks: 10, FormationTicks: 20,
 		SnapshotEntries: 12, TrailingEntries: 4, AppendBytes: 100, ChunkBytes: 20, Voters: s.voters, Known: p.known,
 	}
 	p.engine, err = replicator.OpenEngine(settings, p.machine, j, p,
@@ -186,6 +200,10 @@
 		replicator.WithEvents(p.recordEvent),
 		replicator.WithInvariantFailure(func(v replicator.Violation) { s.violation = v.Error() }))
 	p.afterStep(err)
+	if startedBefore && p.isFormerRelease && p.engine != nil {
+		p.hasReported = true
+		p.afterStep(p.engine.ReportGroup())
+	}
 }
 
 // recordEvent counts an event of the process.
--- a/internal/replicator/storage.go
+++ b/internal/replicator/storage.go
@@ -43,6 +43,10 @@
 	// GroupSeen means that an earlier group was reported. It forbids this member to form a new
 	// one.
 	GroupSeen bool
+	// FirstStart means that this disk has been in use since the first start of all hosts, of which
+	// this member was one of the initial ones. While its log is empty, this member has stored no
+	// entry of any group. A release that does not know the field stores it as false.
+	FirstStart bool
 	// Removed means that another incarnation has permanently replaced this member.
 	Removed bool
 }
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -144,13 +144,7 @@
 		replicator.WithEvents(k.recordEvent),
 		replicator.WithMetrics(k.process.Metrics.Metrics()),
 		replicator.WithInvariantFailure(func(v replicator.Violation) { invariants(v.Invariant.String(), v.Error()) }))
-	if err != nil {
-		return err
-	}
-	if !k.settings.MayForm {
-		k.replicator.ReportGroup()
-	}
-	return nil
+	return err
 }
 
 // memberFolder returns the folder of the replicator's durable state.
@@ -164,6 +158,7 @@
 	address := k.settings.LinkAddress
 	group := replicator.Settings{
 		Self:          replicator.Member{Name: identifier.HostName(address.Addr().String()), Address: address},
+		StartedBefore: !k.settings.MayForm,
 		Known:         k.known,
 		Voters:        k.settings.Voters(),
 		ElectionTicks: electionTicks,
--- a/internal/routekeeperrunner/state_machine.go
+++ b/internal/routekeeperrunner/state_machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"banyandock.example/banyandock/internal/broadcaster"
 	"banyandock.example/banyandock/internal/encoder"
@@ -89,7 +90,11 @@
 		default:
 		}
 	}
-	line := k.process.Log.Info().Stringer(recorder.FieldEvent, e.Kind).
+	level := zerolog.InfoLevel
+	if e.Kind == replicator.EventFormationRefused {
+		level = zerolog.WarnLevel
+	}
+	line := k.process.Log.WithLevel(level).Stringer(recorder.FieldEvent, e.Kind).
 		Uint64(recorder.FieldTerm, e.Term).Uint64(recorder.FieldIndex, e.Index)
 	if e.Member.Name != "" {
 		line = line.Str(recorder.FieldMember, string(e.Member.Name))
