What a keeper reads at its start is on disk before it acts on it

A keeper that was killed between a write and its sync, or between a rename and the sync of the folder, read what the operating system still held, counted it as durable, and acknowledged entries or repeated its vote. A loss of power after that took them back: an acknowledged configuration could be lost, and a vote be given twice in one term.

Cause: loadLog synced the log only if it cut off a torn tail, and nobody synced the folder. The folder that holds the data folder, and the saved directory and quarantines (broadcaster), had the same gap.

--- a/internal/broadcaster/file.go
+++ b/internal/broadcaster/file.go
@@ -49,7 +49,8 @@
 	mutex sync.Mutex
 }
 
-// Load reads the value. It returns the zero value if the file does not exist.
+// Load reads the value. It returns the zero value if the file does not exist. What it returns is on disk:
+// a process that was killed may have renamed the file without syncing the folder.
 func (d *File[T]) Load() (T, error) {
 	var none T
 	text, err := os.ReadFile(d.path)
@@ -63,6 +64,9 @@
 	if err != nil || xxhash.Sum64(content.Servers) != content.Checksum {
 		return none, errCorruptFile
 	}
+	if err := syncFolder(filepath.Dir(d.path)); err != nil {
+		return none, eris.Wrap(err, "sync folder")
+	}
 	return encoder.Decode[T](content.Servers)
 }
 
--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -70,11 +70,9 @@
 	return &folder{path: path, lock: lock}, nil
 }
 
-// makeFolder creates a folder if it does not exist and syncs the parent folder.
+// makeFolder creates a folder if it does not exist and syncs the parent folder, also for a process that
+// was killed before it did.
 func makeFolder(path string) error {
-	if _, err := os.Stat(path); err == nil {
-		return nil
-	}
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return eris.Wrap(err, "create data folder")
 	}
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -104,9 +104,21 @@
 	if !hasState {
 		return j.initialize(s.Snapshot, content)
 	}
+	if err := j.syncLoaded(); err != nil {
+		return s, err
+	}
 	return s, j.reconcile(&s, content)
 }
 
+// syncLoaded makes durable what was read. A process that was killed may have written it and not synced
+// it. The state and the snapshot are synced before they get their names.
+func (j *Journal) syncLoaded() error {
+	if err := j.log.Sync(); err != nil {
+		return eris.Wrap(err, "sync log")
+	}
+	return j.disk.SyncFolder()
+}
+
 // initialize writes the first files into a folder that is empty or whose initialization was
 // interrupted by a crash.
 func (j *Journal) initialize(h replicator.SnapshotHeader, content logContent) (replicator.Stored, error) {
@@ -191,10 +203,7 @@
 	if content.size == int64(len(b)) {
 		return content, true, nil
 	}
-	if err := j.log.Truncate(content.size); err != nil {
-		return content, true, eris.Wrap(err, "truncate log")
-	}
-	return content, true, eris.Wrap(j.log.Sync(), "sync log")
+	return content, true, eris.Wrap(j.log.Truncate(content.size), "truncate log")
 }
 
 // readFile returns a file's content. It returns false if there is no such file.
