A keeper that starts again within its process numbers its changes anew

Cause: after an error of its storage a keeper starts again within its process. Its changes are then numbered from 0, but docks told the numbers of the two apart by the incarnation of the process. A dock that had seen change 57 of the former numbers got only what followed change 57 of the new ones.

The numbers now have an identity of their own, chosen when they start. TestLimitKeepsDocksOfAnOlderReleaseBusy asks for the identity where it presumed it; what it checks is unchanged.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -53,7 +53,9 @@
 // Broadcaster answers the docks that watch one keeper. It is safe for concurrent use.
 type Broadcaster struct {
 	// Set at creation.
-	self        identifier.Incarnation
+	// instance distinguishes the numbers of this Broadcaster's changes from those of an earlier one, also in
+	// the same process.
+	instance    identifier.Incarnation
 	clock       timekeeper.Clock
 	keeperState func() KeeperState
 	files       Files
@@ -96,9 +98,9 @@
 
 // New starts a Broadcaster with the directory and the quarantines that were saved in the files.
 // Silence is how long a server may go without a heartbeat.
-func New(self identifier.Incarnation, silence time.Duration, keeperState func() KeeperState, files Files, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
+func New(silence time.Duration, keeperState func() KeeperState, files Files, clock timekeeper.Clock, log zerolog.Logger) *Broadcaster {
 	b := &Broadcaster{
-		self:        self,
+		instance:    identifier.NewIncarnation(),
 		clock:       clock,
 		keeperState: keeperState,
 		files:       files,
--- a/internal/broadcaster/watch.go
+++ b/internal/broadcaster/watch.go
@@ -95,7 +95,7 @@
 // members only if the dock holds others. The caller holds the lock.
 func (b *Broadcaster) newReply(s KeeperState, request encoder.WatchRequest, now time.Time) encoder.WatchReply {
 	reply := encoder.WatchReply{
-		Keeper:         b.self,
+		Keeper:         b.instance,
 		Seen:           b.base + uint64(len(b.changes)),
 		Configuration:  s.Configuration,
 		IsVoter:        s.IsVoter,
@@ -139,10 +139,10 @@
 }
 
 // addServers adds the changes that a dock has not seen. It adds the whole directory if those
-// changes are no longer kept or if the dock last watched another process of this keeper. The caller
-// holds the lock.
+// changes are no longer kept or if the dock last watched another instance, whose changes have other
+// numbers. The caller holds the lock.
 func (b *Broadcaster) addServers(reply *encoder.WatchReply, request encoder.WatchRequest, now time.Time) {
-	if request.Keeper == b.self && request.Seen >= b.base && request.Seen <= reply.Seen {
+	if request.Keeper == b.instance && request.Seen >= b.base && request.Seen <= reply.Seen {
 		reply.Servers = b.changes[request.Seen-b.base:]
 		return
 	}
--- a/internal/encoder/watch.go
+++ b/internal/encoder/watch.go
@@ -59,7 +59,7 @@
 // WatchRequest is a long poll for the changes since an earlier reply. The keeper answers at
 // once if there are any, and otherwise when there is one or when Wait has passed.
 type WatchRequest struct {
-	// Keeper is the incarnation of the keeper that Seen refers to. Any other incarnation
+	// Keeper is the one of the reply that Seen refers to. A keeper that has another one since
 	// replies with its complete directory.
 	Keeper identifier.Incarnation
 	// Seen is the number of the last directory change that the dock has applied.
@@ -91,6 +91,7 @@
 
 // WatchReply answers a WatchRequest.
 type WatchReply struct {
+	// Keeper changes whenever the numbers of the keeper's changes start anew.
 	Keeper identifier.Incarnation
 	Seen   uint64
 	// IsWhole is true if Servers is the keeper's complete directory. Otherwise Servers lists
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -101,7 +101,7 @@
 		return nil, k.closeAfterError(eris.Wrapf(errStorage, "%v", err))
 	}
 	silence := time.Duration(silentHeartbeats * float64(settings.HeartbeatInterval))
-	k.broadcaster = broadcaster.New(p.Incarnation, silence, k.groupStatus, broadcaster.NewFiles(settings.DataFolder), p.Clock, p.Log)
+	k.broadcaster = broadcaster.New(silence, k.groupStatus, broadcaster.NewFiles(settings.DataFolder), p.Clock, p.Log)
 	k.governor = governor.New(keeperrunner.ReplicatedLog{Replicator: k.replicator}, k.state, k.number, p.Clock, governor.WithInvariants(invariants))
 	var err error
 	if k.links, err = linker.Listen(settings.LinkAddress, p.Self(), k.mux(), p.Clock); err != nil {
--- a/internal/watcher/release_test.go
+++ b/internal/watcher/release_test.go
@@ -18,9 +18,10 @@
 	_, ok := k.broadcaster.IssueTokens(encoder.TokenRequest{Limits: []encoder.ServerLimit{{Server: "a", Born: 1, IsNamed: true, Rate: 1}}})
 	assert.Assert(t, ok)
 	time.Sleep(500 * time.Millisecond)
+	known := k.broadcaster.Watch(context.Background(), "dock", encoder.WatchRequest{MembersDigest: 1})
 	watch := func(limitsDigest uint64) (encoder.WatchReply, time.Duration) {
 		began := time.Now()
-		request := encoder.WatchRequest{Keeper: 1, MembersDigest: 1, Wait: 300 * time.Millisecond, LimitsDigest: limitsDigest}
+		request := encoder.WatchRequest{Keeper: known.Keeper, MembersDigest: 1, Wait: 300 * time.Millisecond, LimitsDigest: limitsDigest}
 		return k.broadcaster.Watch(context.Background(), "dock", request), time.Since(began)
 	}
 	reply, elapsed := watch(0)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -45,7 +45,7 @@
 	t.Helper()
 	k := &keeper{t: t, isLeader: true}
 	clock := timekeeper.System{}
-	k.broadcaster = broadcaster.New(incarnation, 4*time.Second, k.state, broadcaster.NewFiles(folder), clock, zerolog.Nop())
+	k.broadcaster = broadcaster.New(4*time.Second, k.state, broadcaster.NewFiles(folder), clock, zerolog.Nop())
 	mux := linker.NewMux()
 	linker.Handle(mux, encoder.KindWatch, func(ctx context.Context, peer linker.Peer, q encoder.WatchRequest) (encoder.WatchReply, error) {
 		return k.broadcaster.Watch(ctx, peer.Host, q), nil
