--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -56,6 +57,9 @@
 	serviceCrash = "crash"
 )
 
+// otherProgramsFlag allows releases to run side by side, as while hosts are replaced.
+var otherProgramsFlag = flag.String("soak.other", "", "the folder of built programs that run on every other host")
+
 // layout describes what differs between the deployments of the soak's tests.
 type layout struct {
 	// crashRoute is the route of the requests that crash a server of each shard. Its shards are those
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,9 +24,7 @@
 	seeds     = flag.Int("soak.seeds", 1, "how many seeds to run from the first one on")
 	// programsFlag allows to compare releases.
 	programsFlag = flag.String("soak.programs", "", "the folder of built programs that run instead of those of the working tree")
-	// otherProgramsFlag allows releases to run side by side, as while hosts are replaced.
-	otherProgramsFlag = flag.String("soak.other", "", "the folder of built programs that run on every other host")
-	faultTime         = flag.Duration("soak.time", 8*time.Second, "how long each seed disturbs the deployment")
+	faultTime    = flag.Duration("soak.time", 8*time.Second, "how long each seed disturbs the deployment")
 )
 
 // regressions lists the seeds that run by default. Those that failed before have the cause.
