A keeper outside of the group does not acknowledge servers

A server whose heartbeats or departure were acknowledged by a keeper that is outside of the group was unknown to all docks: its departure had no effect, so that it got requests after its end, or it got none at all.

Cause: a keeper answered servers whether or not any dock could hear of it. It passes departures on to the voters that it knows, and outside it knows none.

TestKeeperWithoutAGroupSendsServersOn fails before (200 for the departure).

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -62,6 +62,9 @@
 	EventQuorumUnreachable = "out of touch with the keepers"
 	// EventKeeperRestarts reports that a keeper restarts within its process.
 	EventKeeperRestarts = "keeper restarts"
+	// EventKeeperOutside reports that a keeper does not acknowledge servers, because it is outside of the
+	// group.
+	EventKeeperOutside = "keeper outside refuses servers"
 	// EventAgreement reports a change in the keepers' consensus group.
 	EventAgreement = "agreement"
 	// EventSlowDisk reports a synced write that took long.
--- a/internal/routekeeperrunner/control.go
+++ b/internal/routekeeperrunner/control.go
@@ -123,15 +123,24 @@
 
 // RecordHeartbeat applies a backend server's heartbeat to the directory. If the server departs,
 // RecordHeartbeat returns when a majority of the keepers has acknowledged that, or after
-// departureTimeout.
-func (k *Keeper) RecordHeartbeat(ctx context.Context, r encoder.Registration) {
+// departureTimeout. It returns false and does nothing if the server must call another keeper, because this
+// one is outside of the group.
+func (k *Keeper) RecordHeartbeat(ctx context.Context, r encoder.Registration) bool {
+	if !k.admission.admits(k.Now(), k.isMember(), r.State != encoder.PresenceReady) {
+		return false
+	}
 	k.propagateDepartures(ctx, k.broadcaster.RecordHeartbeat(r))
+	return true
 }
 
 // Deregister removes a backend server from the directory. born is the server's start time in
-// milliseconds; zero matches any start.
-func (k *Keeper) Deregister(ctx context.Context, id encoder.ServerID, born int64) {
+// milliseconds; zero matches any start. It returns false like RecordHeartbeat.
+func (k *Keeper) Deregister(ctx context.Context, id encoder.ServerID, born int64) bool {
+	if !k.admission.admits(k.Now(), k.isMember(), true) {
+		return false
+	}
 	k.propagateDepartures(ctx, k.broadcaster.Deregister(id, born))
+	return true
 }
 
 // Now returns the time by the keeper's clock.
--- a/internal/routekeeperrunner/routekeeperrunner.go
+++ b/internal/routekeeperrunner/routekeeperrunner.go
@@ -62,6 +62,7 @@
 	// known are members of the group that the settings need not name.
 	known       []replicator.Member
 	adapter     Adapter
+	admission   admission
 	state       *registrar.Registrar
 	transport   *keeperrunner.Transport
 	replicator  *replicator.Replicator
@@ -87,13 +88,14 @@
 	}
 	invariants := checker.Hook(func(name, detail string) { p.Invariants.Check(false, name, tracer.F("detail", detail)) })
 	k := &Keeper{
-		process:  p,
-		settings: settings,
-		known:    known,
-		adapter:  adapter,
-		state:    registrar.New(invariants, registrar.WithHighestWins()),
-		pool:     linker.NewPool(p.Self(), p.Clock),
-		removed:  make(chan replicator.Member, 1),
+		process:   p,
+		settings:  settings,
+		known:     known,
+		adapter:   adapter,
+		admission: admission{log: p.Log},
+		state:     registrar.New(invariants, registrar.WithHighestWins()),
+		pool:      linker.NewPool(p.Self(), p.Clock),
+		removed:   make(chan replicator.Member, 1),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.transport = keeperrunner.NewTransport(p.Self(), p.Clock)
