A dock that stops waits until the ledger has the outcomes of its requests

After a planned stop a request that had been answered, or that had not run, could be in doubt when its caller sent it again. Seen by reading, while the paths of the late claims were listed.

Cause: outcomes that no keeper has recorded within 200 ms are settled in the background, and Close ends that. The stop waited for requests and batches only.

The stop now waits for the backlog too, within finish_timeout. TestStopWaitsForOutcomes and TestStopDoesNotWaitForGood test the wait, which did not exist before; that the stop calls it is shown by reading.

--- a/internal/claimer/backlog.go
+++ b/internal/claimer/backlog.go
@@ -13,6 +13,14 @@
 	return len(c.backlog) + c.settling
 }
 
+// AwaitSettled waits until all outcomes in the backlog are settled or the context ends. A dock that stops calls
+// it before Close: the key of an outcome that is not recorded becomes in doubt.
+func (c *Claimer) AwaitSettled(ctx context.Context) {
+	for c.Backlog() > 0 && ctx.Err() == nil {
+		c.wait(ctx, retryInterval)
+	}
+}
+
 // settleInBackground queues an outcome to be settled in the background. If the backlog is full, the
 // oldest outcome is dropped. Its key stays held, which is safe.
 func (c *Claimer) settleInBackground(q encoder.SettleRequest) {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -207,6 +207,38 @@
 	})
 }
 
+// TestStopWaitsForOutcomes guards against a key that becomes in doubt by a planned stop: the outcome of its
+// request was not recorded yet, because no keeper answered for a second.
+func TestStopWaitsForOutcomes(t *testing.T) {
+	withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, k *fakeKeeper) {
+		expectClaim(t, c, claimOf(1), encoder.ClaimGranted)
+		k.set(true, false)
+		c.settleInBackground(encoder.SettleRequest{Caller: "c", Key: testKey, Holder: 1, Request: identifier.RequestID{1}, Released: true})
+		time.AfterFunc(time.Second, func() { k.set(false, false) })
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		began := time.Now()
+		c.AwaitSettled(ctx)
+		assert.Equal(t, c.Backlog(), 0)
+		assert.Assert(t, time.Since(began) < 3*time.Second)
+		expectClaim(t, c, claimOf(2), encoder.ClaimGranted)
+	})
+}
+
+// TestStopDoesNotWaitForGood lets no keeper answer any more.
+func TestStopDoesNotWaitForGood(t *testing.T) {
+	withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, k *fakeKeeper) {
+		k.set(true, false)
+		c.settleInBackground(encoder.SettleRequest{Caller: "c", Key: testKey, Holder: 1, Request: identifier.RequestID{1}, Released: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		began := time.Now()
+		c.AwaitSettled(ctx)
+		assert.Equal(t, time.Since(began), 10*time.Second)
+		assert.Assert(t, c.Backlog() > 0)
+	})
+}
+
 func TestOutcomeOfAnotherRequestIsRefused(t *testing.T) {
 	withClaimer(t, leaderAddress, func(t *testing.T, c *Claimer, _ *fakeKeeper) {
 		expectClaim(t, c, claimOf(1), encoder.ClaimGranted)
--- a/internal/dockrunner/dockrunner.go
+++ b/internal/dockrunner/dockrunner.go
@@ -151,7 +151,8 @@
 
 // stop drains the dock in an order that cuts off no request. It turns readiness off and releases
 // the shards, keeps serving for the drain grace period so that the load balancer and other docks
-// notice, waits for in-flight requests and batches, and then closes its links.
+// notice, waits for in-flight requests and batches and for the ledger to have their outcomes, and then
+// closes its links.
 func (d *dock) stop() error {
 	d.process.Events.Record(tracer.DrainStarted, identifier.RequestID{}, "")
 	d.state.Store(uint32(encoder.HostDraining))
@@ -163,6 +164,7 @@
 	d.responder.AwaitQuiet(ctx)
 	err := d.responder.Close(ctx)
 	d.batches.awaitQuiet(ctx)
+	d.claimer.AwaitSettled(ctx)
 	d.process.Events.Record(tracer.DrainFinished, identifier.RequestID{}, "")
 	d.closeParts()
 	return err
