--- a/internal/replicator/formation_test.go
+++ b/internal/replicator/formation_test.go
@@ -13,7 +13,7 @@
 
 const (
 	// formationHosts is the number of hosts of a first start, of which three are the initial ones.
-	formationHosts = 5
+	formationHosts = replacementVoters
 	// formationSteps is the time in ticks that the simulation's hosts take to form a group.
 	formationSteps = 30
 )
--- a/internal/replicator/replacement_test.go
+++ b/internal/replicator/replacement_test.go
@@ -32,18 +32,7 @@
 
 // newReplaceableGroup starts hosts of which three form a group that grows to replacementVoters.
 func newReplaceableGroup(t testing.TB, seed uint64) *simulation {
-	s := newSimulation(t, seed, 3, faults{})
-	s.voters = replacementVoters
-	s.isFirstStartKnown = true
-	for _, p := range s.processes {
-		p.crash()
-		p.disk = newFakeDisk(s.random)
-		p.hasStarted = false
-		p.start()
-	}
-	for len(s.processes) < replacementVoters {
-		s.addHost()
-	}
+	s := newFirstStart(t, seed)
 	s.eventually("all hosts vote", s.allPlacesHaveLiveVoters)
 	s.isRunning = true
 	return s
