--- a/internal/replicator/durability_test.go
+++ b/internal/replicator/durability_test.go
@@ -26,15 +26,20 @@
 	d.crashAfter = -1
 }
 
-// loadFrom loads what a disk holds.
-func loadFrom(t *testing.T, d *fakeDisk) (*journaler.Journal, replicator.Stored) {
+// openOn opens a journal on a disk.
+func openOn(t *testing.T, d *fakeDisk) *journaler.Journal {
 	t.Helper()
-	next := identifier.Incarnation(0)
 	j, err := journaler.Open("", journaler.WithDisk(d), journaler.WithIncarnations(func() identifier.Incarnation {
-		next++
-		return next
+		return identifier.Incarnation(d.random.Uint64() | 1)
 	}))
 	assert.NilError(t, err)
+	return j
+}
+
+// loadFrom loads what a disk holds.
+func loadFrom(t *testing.T, d *fakeDisk) (*journaler.Journal, replicator.Stored) {
+	t.Helper()
+	j := openOn(t, d)
 	s, err := j.Load()
 	assert.NilError(t, err)
 	return j, s
@@ -66,14 +71,35 @@
 
 // TestLoadedStateSurvivesALossOfPower guards against an acknowledged entry or a vote that is lost: a process
 // is killed between a write and its sync, the next one reads what was written and acts on it, and then
-// the host loses power.
+// the host loses power. One more process may be killed between the two, at any operation of its start.
 func TestLoadedStateSurvivesALossOfPower(t *testing.T) {
-	const operations = 60
-	for n := range operations {
+	const writes, starts = 60, 20
+	for n := range writes {
+		for m := range starts {
+			d := newFakeDisk(rand.New(rand.NewPCG(1, 1)))
+			j, s := loadFrom(t, d)
+			d.crashAfter = n
+			writeAll(j, s.State)
+			d.kill()
+			d.crashAfter = m
+			_, _ = openOn(t, d).Load()
+			d.kill()
+			_, loaded := loadFrom(t, d)
+			d.loseUnsynced()
+			_, survived := loadFrom(t, d)
+			assert.DeepEqual(t, survived, loaded)
+		}
+	}
+}
+
+// TestFirstStartSurvivesALossOfPower kills the process at any operation of its first start. The incarnation that
+// the next one acts under must survive a loss of power.
+func TestFirstStartSurvivesALossOfPower(t *testing.T) {
+	const starts = 30
+	for m := range starts {
 		d := newFakeDisk(rand.New(rand.NewPCG(1, 1)))
-		j, s := loadFrom(t, d)
-		d.crashAfter = n
-		writeAll(j, s.State)
+		d.crashAfter = m
+		_, _ = openOn(t, d).Load()
 		d.kill()
 		_, loaded := loadFrom(t, d)
 		d.loseUnsynced()
