--- a/internal/replicator/formation_test.go
+++ b/internal/replicator/formation_test.go
@@ -66,16 +66,19 @@
 }
 
 // TestDiskLostBeforeTheFirstGroup guards against hosts that never form a group: one of them loses its disk,
-// or is only started again, after the first start and before there is a group. Hosts of the release before
-// take a later start for a sign of a group, so that only those that keep it to themselves are among them.
+// or is only started again, after the first start and before there is a group. The settings of a contract
+// deployment do not tell whether it is the first start.
 func TestDiskLostBeforeTheFirstGroup(t *testing.T) {
 	for host := range formationHosts {
 		for _, isDiskLost := range []bool{true, false} {
-			s := newFirstStart(t, uint64(host))
-			s.steps(formationSteps / 2)
-			assert.Equal(t, len(s.groups()), 0)
-			s.restart(s.processes[host], isDiskLost)
-			s.eventually("all hosts vote", s.allPlacesHaveLiveVoters)
+			for _, isFirstStartKnown := range []bool{true, false} {
+				s := newFirstStart(t, uint64(host))
+				s.isFirstStartKnown = isFirstStartKnown
+				s.steps(formationSteps / 2)
+				assert.Equal(t, len(s.groups()), 0)
+				s.restart(s.processes[host], isDiskLost)
+				s.eventually("all hosts vote", s.allPlacesHaveLiveVoters)
+			}
 		}
 	}
 }
