--- a/internal/replicator/eventkind_enumer.go
+++ b/internal/replicator/eventkind_enumer.go
@@ -24,20 +24,20 @@
 // Re-run the stringer command to generate them again.
 func _EventKindNoOp() {
 	var x [1]struct{}
-	_ = x[EventGroupFormed-(0)]
-	_ = x[EventGroupJoined-(1)]
-	_ = x[EventElected-(2)]
-	_ = x[EventSteppedDown-(3)]
-	_ = x[EventFollowing-(4)]
-	_ = x[EventLearnerAdded-(5)]
-	_ = x[EventReplacementStarted-(6)]
-	_ = x[EventReplacementCommitted-(7)]
-	_ = x[EventRemoved-(8)]
-	_ = x[EventSnapshotTaken-(9)]
-	_ = x[EventSnapshotSending-(10)]
-	_ = x[EventSnapshotInstalled-(11)]
-	_ = x[EventStorageFailed-(12)]
-	_ = x[EventFormationRefused-(13)]
+	_ = x[EventGroupFormed-0]
+	_ = x[EventGroupJoined-1]
+	_ = x[EventElected-2]
+	_ = x[EventSteppedDown-3]
+	_ = x[EventFollowing-4]
+	_ = x[EventLearnerAdded-5]
+	_ = x[EventReplacementStarted-6]
+	_ = x[EventReplacementCommitted-7]
+	_ = x[EventRemoved-8]
+	_ = x[EventSnapshotTaken-9]
+	_ = x[EventSnapshotSending-10]
+	_ = x[EventSnapshotInstalled-11]
+	_ = x[EventStorageFailed-12]
+	_ = x[EventFormationRefused-13]
 }
 
 var _EventKindValues = []EventKind{EventGroupFormed, EventGroupJoined, EventElected, EventSteppedDown, EventFollowing, EventLearnerAdded, EventReplacementStarted, EventReplacementCommitted, EventRemoved, EventSnapshotTaken, EventSnapshotSending, EventSnapshotInstalled, EventStorageFailed, EventFormationRefused}
