--- a/review/rig2/bodies.go
+++ b/review/rig2/bodies.go
@@ -96,6 +96,7 @@
 	r.printf("ordinary callers afterwards: %s", ordinary.take())
 	cancel()
 	ordinary.tasks.Wait()
+	r.printf("sent: %d requests of ordinary callers and %d of the crowd; the servers ran %d requests", ordinary.sequence.Load(), crowd.sequence.Load(), countRuns(servers))
 	return d.judgeEnds()
 }
 
--- a/review/rig2/reshard.go
+++ b/review/rig2/reshard.go
@@ -56,6 +56,7 @@
 	defer d.stop()
 	names := map[string][]string{}
 	all := []service{}
+	servers := []*server{}
 	for _, set := range []string{"a", "b"} {
 		for i := range shardSets[set] {
 			name := fmt.Sprintf("%s%02d", set, i)
@@ -67,6 +68,7 @@
 				return exitNotRun
 			}
 			defer s.stop()
+			servers = append(servers, s)
 		}
 	}
 	version := func(n int, set string) configuration {
@@ -102,7 +104,7 @@
 	time.Sleep(time.Second)
 	cancel()
 	g.tasks.Wait()
-	r.printf("answers by status: %v", g.statuses)
+	r.printf("sent: %d queries; answers by status: %v; the servers ran %d requests", g.sequence.Load(), g.statuses, countRuns(servers))
 	if g.statuses[http.StatusOK] < 1000 {
 		r.printf("too few answers")
 		return exitNotRun
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -30,7 +30,6 @@
 	runs    atomic.Int64
 	// answer writes the body of the response to a request that has run.
 	answer func(w http.ResponseWriter, r *http.Request, s *server, n int64)
-	onRun  func(s *server, id string)
 
 	http   *http.Server
 	ctx    context.Context
@@ -46,7 +45,7 @@
 	}
 	s := &server{
 		id: id, service: service, address: l.Addr().String(), controls: controls, slots: make(chan struct{}, slots),
-		queue: int64(queue), work: work, born: time.Now().UnixMilli(), answer: answerRecords, onRun: func(*server, string) {},
+		queue: int64(queue), work: work, born: time.Now().UnixMilli(), answer: answerRecords,
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.http = &http.Server{Handler: s, IdleTimeout: 15 * time.Second}
@@ -84,6 +83,15 @@
 	}
 }
 
+// countRuns returns the number of requests that servers have run.
+func countRuns(servers []*server) int64 {
+	n := int64(0)
+	for _, s := range servers {
+		n += s.runs.Load()
+	}
+	return n
+}
+
 // stop ends the server.
 func (s *server) stop() {
 	s.cancel()
@@ -123,7 +131,6 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	n := s.runs.Add(1)
-	s.onRun(s, id)
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
