Requests are sent to the shards of the configuration that they were admitted under

Cause: planSending took the groups of shards by the route's name from the assignment in force, which belongs to the next configuration if that came while the request waited for its permit.

Fix: the request's own services are divided into the groups that they are part of now. What is sent cannot be anything but what is counted. It also covers a second scattered route with a part of another one's shards.

TestRequestAwaitingItsPermitKeepsItsShards and TestRequestInTrialKeepsItsShards fail before.

--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -12,6 +12,7 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
+	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/sender"
 )
 
@@ -122,22 +123,17 @@
 	group assigner.Group
 }
 
-// planSending determines which dock sends the request to which of some services.
+// planSending determines which dock sends the request to which of some services of the query's own configuration.
+// The one in force may be newer and name other services.
 func (q *query) planSending(now time.Time, services []identifier.ServiceName) sendingPlan {
 	f := q.forwarder
-	groups := f.owners.groups(q.route.Name)
-	if groups == nil {
+	if _, isScattered := q.route.Destination.(matcher.Scatter); !isScattered {
+		// A request to a single service is handed over as a whole by a dock that may not send it.
 		return q.keepPermitted(services)
 	}
-	p := sendingPlan{}
-	isPartial := len(services) < len(q.services())
+	groups, ungrouped := f.owners.divide(services)
+	p := q.keepPermitted(ungrouped)
 	for _, g := range groups {
-		if isPartial {
-			g.Services = slices.DeleteFunc(slices.Clone(g.Services), func(s identifier.ServiceName) bool { return !slices.Contains(services, s) })
-		}
-		if len(g.Services) == 0 {
-			continue
-		}
 		switch dock, kind := f.owners.choose(now, g, nil, q.maySend(g.Services)); kind {
 		case sendDelegated:
 			p.delegated = append(p.delegated, plannedDelegation{dock: dock, group: g})
@@ -162,8 +158,7 @@
 	return !slices.ContainsFunc(services, func(s identifier.ServiceName) bool { return q.forwarder.selector.Connections(s) == 0 })
 }
 
-// keepPermitted returns the plan of a route that is not delegated: this dock sends to the services that it
-// may send to.
+// keepPermitted returns the plan of services that are not delegated: this dock sends to those that it may send to.
 func (q *query) keepPermitted(services []identifier.ServiceName) sendingPlan {
 	if q.maySend(services) {
 		return sendingPlan{own: services}
--- a/internal/forwarder/owners.go
+++ b/internal/forwarder/owners.go
@@ -37,11 +37,10 @@
 	mutex sync.Mutex
 	// domainDocks are the docks of this dock's failure domain.
 	domainDocks []encoder.Dock
-	// groupsByRoute holds the groups of each scattered route, or nil if the route is not
-	// delegated.
-	groupsByRoute map[matcher.RouteName][]assigner.Group
+	// routed holds the groups of all scattered routes, without those of routes that are not delegated.
+	routed []assigner.Group
 	// groupByService holds the group of each service that only some docks may send to.
-	groupByService map[identifier.ServiceName]assigner.Group
+	groupByService map[identifier.ServiceName]*assigner.Group
 	// suspectedUntil is when the docks that are skipped may be used again.
 	suspectedUntil map[netip.AddrPort]time.Time
 	lastID         uint64
@@ -61,15 +60,16 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	ownership := selector.Ownership{Ranks: map[identifier.ServiceName]int{}}
-	o.groupsByRoute = map[matcher.RouteName][]assigner.Group{}
-	o.groupByService = map[identifier.ServiceName]assigner.Group{}
+	o.routed = nil
+	o.groupByService = map[identifier.ServiceName]*assigner.Group{}
 	if t == nil || o.peers == nil {
 		return ownership
 	}
 	for _, r := range t.Routes() {
 		if d, ok := r.Destination.(matcher.Scatter); ok {
-			o.groupsByRoute[r.Name] = o.assignGroups(d.Services, a)
-			o.addGroups(ownership, o.groupsByRoute[r.Name])
+			groups := o.assignGroups(d.Services, a)
+			o.routed = append(o.routed, groups...)
+			o.addGroups(ownership, groups)
 		}
 	}
 	o.addGroups(ownership, o.assignGroups(unroutedServices(t), a))
@@ -105,7 +105,8 @@
 
 // addGroups adds the ranks of this dock in groups to an ownership. The caller holds the lock.
 func (o *owners) addGroups(ownership selector.Ownership, groups []assigner.Group) {
-	for _, g := range groups {
+	for i := range groups {
+		g := &groups[i]
 		rank := slices.IndexFunc(g.Senders, func(d encoder.Dock) bool { return d.Host == o.self })
 		for _, s := range g.Services {
 			if _, isGrouped := o.groupByService[s]; !isGrouped {
@@ -163,11 +164,27 @@
 	return now.Before(o.suspectedUntil[dock.Address])
 }
 
-// groups returns the groups of a route, or nil if it is not delegated.
-func (o *owners) groups(route matcher.RouteName) []assigner.Group {
+// divide divides services, which may be those of a former configuration, into the groups that they are part of
+// now. It also returns the services that every dock sends to itself. Each service is returned once.
+func (o *owners) divide(services []identifier.ServiceName) (groups []assigner.Group, ungrouped []identifier.ServiceName) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.groupsByRoute[route]
+	index := map[*assigner.Group]int{}
+	for _, s := range services {
+		g := o.groupByService[s]
+		if g == nil {
+			ungrouped = append(ungrouped, s)
+			continue
+		}
+		i, ok := index[g]
+		if !ok {
+			i = len(groups)
+			index[g] = i
+			groups = append(groups, assigner.Group{Services: make([]identifier.ServiceName, 0, len(g.Services)), Senders: g.Senders})
+		}
+		groups[i].Services = append(groups[i].Services, s)
+	}
+	return groups, ungrouped
 }
 
 // sendersOf returns the docks that may send to a service in place of this one, or nil if the service has
@@ -175,7 +192,11 @@
 func (o *owners) sendersOf(service identifier.ServiceName) []encoder.Dock {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.groupByService[service].Senders
+	g := o.groupByService[service]
+	if g == nil {
+		return nil
+	}
+	return g.Senders
 }
 
 // sendingKind is how the request is sent to the servers of a group.
@@ -245,12 +266,10 @@
 	defer o.mutex.Unlock()
 	list := []netip.AddrPort{}
 	seen := map[identifier.HostName]bool{o.self: true}
-	for _, groups := range o.groupsByRoute {
-		for _, g := range groups {
-			if len(g.Senders) > 0 && !seen[g.Senders[0].Host] {
-				seen[g.Senders[0].Host] = true
-				list = append(list, g.Senders[0].Address)
-			}
+	for _, g := range o.routed {
+		if len(g.Senders) > 0 && !seen[g.Senders[0].Host] {
+			seen[g.Senders[0].Host] = true
+			list = append(list, g.Senders[0].Address)
 		}
 	}
 	return list
