A repeat that another dock runs keeps the configuration of the request

What callers saw: nothing known. A dock that is cut off from the servers hands requests that they may have run over to another dock, which ran them by its own configuration if that was newer: on shards that had never got the request, with the runs left that the former shards had.

Fix: a repeat under another configuration is refused with other_configuration, and the next dock is asked. A request that was not sent is admitted anew by the dock that takes it, as before.

TestRepeatElsewhereKeepsItsConfiguration fails before (an answer of eight shards to a request of four).

--- a/internal/encoder/relay.go
+++ b/internal/encoder/relay.go
@@ -18,11 +18,11 @@
 	Body    []byte              `msgpack:"b,omitempty"`
 	// Remaining is the time until the caller's deadline. Zero means that the caller gave none.
 	Remaining time.Duration `msgpack:"d,omitempty"`
-	// Configuration is the number of the configuration in force at the sender. The receiver must have
-	// the same or a newer one.
+	// Configuration is the number of the configuration that the sender admitted the request under. The receiver
+	// must have the same or a newer one, and the same one if the request may have run.
 	Configuration uint64 `msgpack:"c"`
-	// Attempts limits the servers of a service that may run the request. Zero means that the route
-	// alone limits them.
+	// Attempts limits the servers of a service that may run the request, which may have run before. Zero means
+	// that it has not, and that the route alone limits them.
 	Attempts int `msgpack:"a,omitempty"`
 	// HasPermit is set if the sender holds a permit of the customer's quota for the request, so that
 	// the receiver needs none. A dock of an older release ignores it, and asks for none either.
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -101,12 +101,17 @@
 // detachedHost returns the name of a dock.
 func detachedHost(i int) identifier.HostName { return identifier.HostName(fmt.Sprintf("dock-%d", i)) }
 
-// configure puts a configuration in force with a route to all shards and one to the single service.
+// configure puts the first configuration in force.
 func (d *detachment) configure(f *forwarder.Forwarder, shards int) {
+	d.configureNumber(f, shards, 1)
+}
+
+// configureNumber puts a configuration in force with a route to all shards and one to the single service.
+func (d *detachment) configureNumber(f *forwarder.Forwarder, shards int, number uint64) {
 	all := scatterRoute(shards, 3, 0.9, 100*time.Millisecond)
 	all.Name, all.Host, all.Prefix, all.Timeout, all.Attempts = "all", "a.example", "/all/", time.Second, 2
 	one := matcher.Route{Name: "one", Host: "a.example", Prefix: "/one/", Destination: toPlates, Timeout: time.Second, Attempts: 2, LatencyTarget: 100 * time.Millisecond}
-	c := matcher.Configuration{Number: 1, Routes: []matcher.Route{all, one}}
+	c := matcher.Configuration{Number: number, Routes: []matcher.Route{all, one}}
 	for _, s := range append(services(shards), "plates") {
 		c.Services = append(c.Services, matcher.Service{Name: s, Connections: 50})
 	}
@@ -257,6 +262,35 @@
 	}
 }
 
+// TestRepeatElsewhereKeepsItsConfiguration guards against a request that servers may have run and that is then run by
+// another dock on the shards of the next configuration. A request that has not been sent is answered by the
+// configuration of the dock that it is handed over to.
+func TestRepeatElsewhereKeepsItsConfiguration(t *testing.T) {
+	const former, next = 4, 8
+	d := newDetachment(t, next)
+	for _, f := range d.docks {
+		d.configureNumber(f, former, 2)
+	}
+	for _, s := range d.servers {
+		s.setHandler(after(200*time.Millisecond, s.handle))
+	}
+	outcomes := make(chan forwarder.Outcome, 1)
+	go func() { outcomes <- d.handle(0, "/all/", "repeated") }()
+	time.Sleep(50 * time.Millisecond)
+	for _, f := range d.docks {
+		d.configureNumber(f, next, 3)
+	}
+	d.links[0].set(linkSilent)
+	expect[forwarder.Failed](t, <-outcomes)
+	for i := former; i < next; i++ {
+		n, _ := d.servers[encoder.ServerID(fmt.Sprintf("server-%d", i))].count()
+		assert.Equal(t, n, 0, "shard %d", i)
+	}
+	waitFor(t, func() bool { return d.docks[0].IsDetached() })
+	g := expect[forwarder.Gathered](t, d.handle(0, "/all/", "first"))
+	assert.Equal(t, len(g.Stamps)+g.Missing, next)
+}
+
 // TestRelayedRequestThatMayHaveRunIsRefused guards against a caller that is told that its request has not run, by a
 // dock that it was handed over to after a server may have run it.
 func TestRelayedRequestThatMayHaveRunIsRefused(t *testing.T) {
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -54,6 +54,9 @@
 	ReasonQuotaUnknown
 	// ReasonFar means that a hedge over a long link must wait or would come too late.
 	ReasonFar
+	// ReasonOtherConfiguration means that another dock may have sent the request to the shards of a
+	// configuration that is not in force here.
+	ReasonOtherConfiguration
 )
 
 // Outcome is Answer, Gathered, Refused, Failed, NoRoute or Unauthorized.
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfar"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configuration"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 114, 125, 135, 148, 151}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 114, 125, 135, 148, 151, 170}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfar"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configuration"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -42,9 +42,10 @@
 	_ = x[ReasonOverQuota-15]
 	_ = x[ReasonQuotaUnknown-16]
 	_ = x[ReasonFar-17]
+	_ = x[ReasonOtherConfiguration-18]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonStopping, ReasonCallerLeft, ReasonOverQuota, ReasonQuotaUnknown, ReasonFar}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonStopping, ReasonCallerLeft, ReasonOverQuota, ReasonQuotaUnknown, ReasonFar, ReasonOtherConfiguration}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -65,6 +66,7 @@
 	_ReasonName[125:135]: ReasonOverQuota,
 	_ReasonName[135:148]: ReasonQuotaUnknown,
 	_ReasonName[148:151]: ReasonFar,
+	_ReasonName[151:170]: ReasonOtherConfiguration,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -86,6 +88,7 @@
 	_ReasonLowerName[125:135]: ReasonOverQuota,
 	_ReasonLowerName[135:148]: ReasonQuotaUnknown,
 	_ReasonLowerName[148:151]: ReasonFar,
+	_ReasonLowerName[151:170]: ReasonOtherConfiguration,
 }
 
 var _ReasonNames = []string{
@@ -107,6 +110,7 @@
 	_ReasonName[125:135],
 	_ReasonName[135:148],
 	_ReasonName[148:151],
+	_ReasonName[151:170],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -165,10 +165,16 @@
 }
 
 // isLocalReason reports whether a dock refused a request for a reason that another dock may not have: it
-// knows or reaches no server, may not connect to any, reaches no keeper that issues permits, or is stopping.
+// knows or reaches no server, may not connect to any, reaches no keeper that issues permits, is stopping, or has
+// another configuration.
 func isLocalReason(reason string) bool {
-	return reason == ReasonNoServer.String() || reason == ReasonNoSender.String() || reason == ReasonStopping.String() ||
-		reason == ReasonQuotaUnknown.String()
+	switch reason {
+	case ReasonNoServer.String(), ReasonNoSender.String(), ReasonStopping.String(), ReasonQuotaUnknown.String(),
+		ReasonOtherConfiguration.String():
+		return true
+	default:
+		return false
+	}
 }
 
 // relayFailure returns the outcome of a request that another dock took and did not answer.
@@ -263,6 +269,9 @@
 		return encoder.RelayReply{}, errDetached
 	case table == nil || table.Number() < r.Configuration:
 		return encoder.RelayReply{}, errOlderConfiguration
+	case r.Attempts > 0 && table.Number() != r.Configuration:
+		// The request may have run on servers, and must not run on those of other shards as its repeat.
+		return relayReply(Refused{After: f.retryAfter(), Reason: ReasonOtherConfiguration}), nil
 	}
 	if err := f.beginRelayed(); err != nil {
 		return encoder.RelayReply{}, err
