--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"banyandock.example/banyandock/internal/encoder"
-	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/manifestreader"
 )
 
@@ -63,7 +62,7 @@
 // The reservations under pressure apply at random, with a probability proportional to the
 // pressure. If they always applied, they would never end, because they take the capacity from
 // routine work that is needed to end the pressure.
-func (s *service) canStartRoutine(h *shard, sv *server, version identifier.IndexVersion, now time.Time) bool {
+func (s *service) canStartRoutine(h *shard, sv *server, version indexVersion, now time.Time) bool {
 	if h.lastUrgentAt.IsZero() || now.Sub(h.lastUrgentAt) > s.policy.ReserveWindow {
 		return true
 	}
@@ -107,7 +106,7 @@
 func (s *service) fallbackInterval(t *task, now time.Time) time.Duration {
 	medianLatency := s.medianLatency(t)
 	effectiveSlots := 0.0
-	for _, sv := range t.shard.holders[t.batch.request.Version] {
+	for _, sv := range t.shard.holders[t.batch.version()] {
 		if sv.isUsable(now) {
 			effectiveSlots += float64(sv.slots(s.policy)) / sv.expectedSlowness(s.policy, now)
 		}
@@ -136,7 +135,7 @@
 // expectedDelay returns the expected wait of new work of an urgency on a task's shard.
 func (s *service) expectedDelay(t *task, urgency manifestreader.Urgency, now time.Time) time.Duration {
 	q := t.shard.queue(urgency)
-	if q.length == 0 && t.shard.freeSlots(t.batch.request.Version, s.policy, now) > 0 {
+	if q.length == 0 && t.shard.freeSlots(t.batch.version(), s.policy, now) > 0 {
 		return 0
 	}
 	return q.waitBehind(q.length+1, s.fallbackInterval(t, now), now)
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -61,6 +61,11 @@
 	return b
 }
 
+// version returns the index version that the batch reads.
+func (b *batch) version() indexVersion {
+	return indexVersion{b.request.Version, b.request.ShardCount}
+}
+
 // distinct returns the shard numbers without duplicates, in their order.
 func distinct(numbers []identifier.ShardNumber) []identifier.ShardNumber {
 	seen := make(map[identifier.ShardNumber]struct{}, len(numbers))
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -19,7 +19,7 @@
 // hasCandidate reports whether a server is left that a task could run on. If not, it returns
 // the reason.
 func (s *service) hasCandidate(t *task, now time.Time) (encoder.MissingReason, bool) {
-	version := t.batch.request.Version
+	version := t.batch.version()
 	reason := encoder.MissingNoReplica
 	for _, sv := range t.shard.holders[version] {
 		switch {
@@ -37,7 +37,7 @@
 // most noReplicaRetryAfter.
 func (s *service) readmissionDelay(t *task, now time.Time) time.Duration {
 	delay := noReplicaRetryAfter
-	for _, sv := range t.shard.holders[t.batch.request.Version] {
+	for _, sv := range t.shard.holders[t.batch.version()] {
 		if sv.isEjected(now) {
 			delay = min(delay, sv.ejectedUntil.Sub(now))
 		}
@@ -50,7 +50,7 @@
 // and a choice between two random replicas would give worse results.
 func (s *service) chooseServer(e *entry, now time.Time) *server {
 	var best *server
-	for _, sv := range e.task.shard.holders[e.task.batch.request.Version] {
+	for _, sv := range e.task.shard.holders[e.task.batch.version()] {
 		if s.canStart(e, sv, now) && (best == nil || s.isPreferred(sv, best, now)) {
 			best = sv
 		}
@@ -93,7 +93,7 @@
 	if slowness <= s.medianSlowness {
 		return false
 	}
-	for _, faster := range t.shard.holders[t.batch.request.Version] {
+	for _, faster := range t.shard.holders[t.batch.version()] {
 		slots := faster.slots(s.policy)
 		if faster == sv || !faster.isUsable(now) || faster.isolatedEntry != nil || slots == 0 {
 			continue
@@ -116,7 +116,7 @@
 // canStart reports whether an entry may use a slot of a server now.
 func (s *service) canStart(e *entry, sv *server, now time.Time) bool {
 	t := e.task
-	version := t.batch.request.Version
+	version := t.batch.version()
 	if sv.free(s.policy) == 0 || slices.Contains(t.triedServers, sv) || sv.isGone(version, t.number, now) {
 		return false
 	}
@@ -208,7 +208,7 @@
 		switch {
 		case now.Add(s.medianLatency(t) / 2).After(t.batch.deadline):
 			s.giveUp(e, encoder.MissingOverload, s.expectedWait(t, now))
-		case t.shard.holds(sv, t.batch.request.Version) && s.canStart(e, sv, now) && !s.shouldDefer(e, sv, now):
+		case t.shard.holds(sv, t.batch.version()) && s.canStart(e, sv, now) && !s.shouldDefer(e, sv, now):
 			return e
 		}
 		e = following
--- a/internal/owner/hedge.go
+++ b/internal/owner/hedge.go
@@ -22,7 +22,7 @@
 func (s *service) scheduleHedge(a *attempt, now time.Time) {
 	t := a.task
 	request := &t.batch.request
-	if !request.Idempotent || a.entry.isIsolated || a.entry.kind == kindHedge || len(t.shard.holders[request.Version]) < 2 {
+	if !request.Idempotent || a.entry.isIsolated || a.entry.kind == kindHedge || len(t.shard.holders[t.batch.version()]) < 2 {
 		return
 	}
 	at := now.Add(s.hedgeDelay(a))
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -159,7 +159,7 @@
 		s.schedule(sv.drainUntil, resumeServerAction{sv})
 		s.recheckWaiting(now)
 	case CauseVersionGone:
-		sv.markGone(a.task.batch.request.Version, a.task.number, now.Add(s.policy.DrainOverrideTime))
+		sv.markGone(a.task.batch.version(), a.task.number, now.Add(s.policy.DrainOverrideTime))
 		s.recheckWaiting(now)
 	default:
 	}
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -64,9 +64,10 @@
 		for _, holding := range sv.description.Holdings {
 			h := s.shard(holding.Shard)
 			if h.holders == nil {
-				h.holders = map[identifier.IndexVersion][]*server{}
+				h.holders = map[indexVersion][]*server{}
 			}
-			h.holders[holding.Version] = append(h.holders[holding.Version], sv)
+			version := indexVersion{holding.Version, holding.ShardCount}
+			h.holders[version] = append(h.holders[version], sv)
 			sv.addShard(h)
 		}
 	}
@@ -179,7 +180,7 @@
 // recheckEntry gives up an entry if this dock may not serve it or no replica is left.
 func (s *service) recheckEntry(e *entry, now time.Time) {
 	t := e.task
-	if reason, ok := t.shard.canServe(t.batch.request.Version); !ok {
+	if reason, ok := t.shard.canServe(t.batch.version()); !ok {
 		s.giveUp(e, reason, 0)
 		return
 	}
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -60,7 +60,7 @@
 
 // goneHolding is a holding that a server announced and later reported as gone.
 type goneHolding struct {
-	version identifier.IndexVersion
+	version indexVersion
 	number  identifier.ShardNumber
 }
 
@@ -183,7 +183,7 @@
 }
 
 // markGone records that the server no longer has a holding.
-func (sv *server) markGone(version identifier.IndexVersion, number identifier.ShardNumber, until time.Time) {
+func (sv *server) markGone(version indexVersion, number identifier.ShardNumber, until time.Time) {
 	if sv.goneHoldings == nil {
 		sv.goneHoldings = map[goneHolding]time.Time{}
 	}
@@ -191,7 +191,7 @@
 }
 
 // isGone reports whether the server reported a holding as gone.
-func (sv *server) isGone(version identifier.IndexVersion, number identifier.ShardNumber, now time.Time) bool {
+func (sv *server) isGone(version indexVersion, number identifier.ShardNumber, now time.Time) bool {
 	return len(sv.goneHoldings) > 0 && now.Before(sv.goneHoldings[goneHolding{version, number}])
 }
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -151,7 +151,7 @@
 	t.shard = h
 	request := &t.batch.request
 	s.adopt(h, request)
-	if reason, ok := h.canServe(request.Version); !ok {
+	if reason, ok := h.canServe(t.batch.version()); !ok {
 		t.closeMissing(reason, 0)
 		return
 	}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -22,6 +22,13 @@
 	roleOwner
 )
 
+// indexVersion identifies a set of shards. Shards of one version number with two shard counts hold other parts of the
+// index.
+type indexVersion struct {
+	number     identifier.IndexVersion
+	shardCount uint32
+}
+
 // shard is the state of one shard number across all index versions.
 type shard struct {
 	number identifier.ShardNumber
@@ -29,7 +36,7 @@
 	// Changed by a new view or a handover.
 	role role
 	// holders are the servers that hold each index version.
-	holders map[identifier.IndexVersion][]*server
+	holders map[indexVersion][]*server
 	// releasedEpoch is the epoch under which another dock took over the shard.
 	releasedEpoch identifier.Epoch
 	// successor is the dock that took over the shard under that epoch.
@@ -58,7 +65,7 @@
 
 // canServe reports whether this dock may dispatch an index version of the shard. If not, it
 // returns the reason.
-func (h *shard) canServe(version identifier.IndexVersion) (encoder.MissingReason, bool) {
+func (h *shard) canServe(version indexVersion) (encoder.MissingReason, bool) {
 	switch {
 	case h.role == roleNone:
 		return encoder.MissingOwner, false
@@ -71,12 +78,12 @@
 }
 
 // holds reports whether a server holds an index version of the shard.
-func (h *shard) holds(sv *server, version identifier.IndexVersion) bool {
+func (h *shard) holds(sv *server, version indexVersion) bool {
 	return slices.Contains(h.holders[version], sv)
 }
 
 // freeSlots returns the number of free slots of all usable replicas of an index version.
-func (h *shard) freeSlots(version identifier.IndexVersion, policy *Policy, now time.Time) int {
+func (h *shard) freeSlots(version indexVersion, policy *Policy, now time.Time) int {
 	free := 0
 	for _, sv := range h.holders[version] {
 		if sv.isUsable(now) {
@@ -108,7 +115,7 @@
 // lastResort returns the ejected replica that returns first if no replica of an index version
 // is usable, or nil. It is used although it is ejected, because otherwise the shard is
 // certainly missing. Draining replicas and those that shed load are not used.
-func (h *shard) lastResort(version identifier.IndexVersion, now time.Time) *server {
+func (h *shard) lastResort(version indexVersion, now time.Time) *server {
 	var first *server
 	for _, sv := range h.holders[version] {
 		if sv.isUsable(now) {
--- a/internal/owner/suspects.go
+++ b/internal/owner/suspects.go
@@ -219,7 +219,7 @@
 
 // reserveServer reserves the server with the fewest running subrequests for an entry.
 func (s *service) reserveServer(e *entry, now time.Time) {
-	for _, sv := range e.task.shard.holders[e.task.batch.request.Version] {
+	for _, sv := range e.task.shard.holders[e.task.batch.version()] {
 		if sv.isolatedEntry != nil || !s.isReservable(e, sv, now) {
 			continue
 		}
@@ -235,7 +235,7 @@
 // isReservable reports whether a server can run an entry once nothing else runs on it.
 func (s *service) isReservable(e *entry, sv *server, now time.Time) bool {
 	t := e.task
-	version := t.batch.request.Version
+	version := t.batch.version()
 	switch {
 	case sv.slotLimit == 0 || !t.shard.holds(sv, version):
 		return false
--- a/internal/responder/announcement.go
+++ b/internal/responder/announcement.go
@@ -122,10 +122,16 @@
 		return nil, fieldError("holdings", fmt.Sprintf("has more than %d entries", maxHoldings))
 	}
 	holdings := make([]encoder.Holding, 0, len(list))
+	counts := map[uint64]uint32{}
 	for i, h := range list {
 		if h.Version == 0 || h.ShardCount == 0 || h.ShardCount > maxShardCount || h.Shard >= h.ShardCount {
 			return nil, fieldError(fmt.Sprintf("holdings[%d]", i), "has no version, or a shard outside of shard_count")
 		}
+		if count, ok := counts[h.Version]; ok && count != h.ShardCount {
+			// Subrequests name the version only, so that the server could not tell which shard is meant.
+			return nil, fieldError(fmt.Sprintf("holdings[%d]", i), "names another shard_count for the same version")
+		}
+		counts[h.Version] = h.ShardCount
 		holdings = append(holdings, encoder.Holding{
 			Version:    identifier.IndexVersion(h.Version),
 			Shard:      identifier.ShardNumber(h.Shard),
--- a/internal/responder/responder_test.go
+++ b/internal/responder/responder_test.go
@@ -170,6 +170,7 @@
 	expectRefused(`"slots":2`, `"slots":0`, "slots")
 	expectRefused(`"shard":3`, `"shard":20`, "holdings[0]")
 	expectRefused(`"slots"`, `"slot"`, "slot")
+	expectRefused(`"holdings":[`, `"holdings":[{"version":41,"shard":3,"shard_count":30},`, "holdings[1]")
 }
 
 func FuzzParseAnnouncement(f *testing.F) {
