Replies that outlive their requests are counted, and dropped

Here one reply was bounded, many at once were not.

Cause: a reply's bytes were reserved in the Hold of its request, which is closed when the request is answered, while attempts go on for up to a second. A closed Hold reserves nothing.

Fix: each reply has a Hold of its own, forked from the request's and merged when the reply is complete. Once the request has ended, the reply is read to its end and not kept. Heads above 4 KiB reserve their memory, and large answers together use three eighths of the account, so that requests and small answers find room.

--- a/internal/reserver/reading.go
+++ b/internal/reserver/reading.go
@@ -15,7 +15,8 @@
 var ErrTooLarge = eris.New("the body is too large")
 
 // ReadAll reads a body of at most limit bytes and reserves its memory before. length is the body's length, or negative
-// if it is not known. A nil Hold reserves nothing.
+// if it is not known. A nil Hold reserves nothing. If the Hold was forked, ReadAll returns ErrUnneeded and keeps nothing
+// once the request has ended.
 func (h *Hold) ReadAll(ctx context.Context, body io.Reader, length, limit int64, use Use) ([]byte, error) {
 	if length > limit {
 		return nil, ErrTooLarge
@@ -36,6 +37,9 @@
 			space = next
 		}
 		n, err := body.Read(space)
+		if h.isUnneeded() {
+			return nil, ErrUnneeded
+		}
 		if n > 0 && len(buffer) == cap(buffer) {
 			var growErr error
 			if buffer, growErr = h.grow(ctx, buffer, limit, use); growErr != nil {
@@ -66,6 +70,6 @@
 	}
 	larger := make([]byte, len(full), size)
 	copy(larger, full)
-	h.Release(before)
+	h.Release(before, use)
 	return larger, nil
 }
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -36,6 +36,10 @@
 	addressShare = 0.75
 	// connectionShare is the part that one connection may use, which carries several requests in HTTP/2.
 	connectionShare = 0.5
+	// largeShare is the part of an account that answers of more than smallBytes may use together, so that servers that
+	// send without end leave room for requests and for small answers.
+	largeShare = 0.375
+	smallBytes = 64 << 10
 	// stallTime is how long a transfer must have made no progress before it is ended to make room. Retransmissions
 	// take up to 200 ms on a healthy network.
 	stallTime = 500 * time.Millisecond
@@ -49,8 +53,12 @@
 	checkInterval = 50 * time.Millisecond
 )
 
-// ErrFull reports that the bytes do not fit into the account.
-var ErrFull = eris.New("no memory is left for clients")
+var (
+	// ErrFull reports that the bytes do not fit into the account.
+	ErrFull = eris.New("no memory is left for clients")
+	// ErrUnneeded reports that the request for which bytes were to be reserved has ended.
+	ErrUnneeded = eris.New("the request has ended")
+)
 
 // Account holds the reserved bytes of all clients. It is safe for concurrent use.
 type Account struct {
@@ -59,14 +67,17 @@
 	clock timekeeper.Clock
 
 	// Guarded by mutex.
-	mutex       sync.Mutex
-	used        int64
+	mutex sync.Mutex
+	used  int64
+	// large is the part of used that large answers use.
+	large       int64
 	addresses   map[netip.Addr]int64
 	connections map[netip.AddrPort]int64
 	// transfers holds the Holds whose clients are sending or reading, least recent progress first.
 	transfers list.List
 	evictions int64
-	// excess is the Hold that may exceed the account until it is closed, or nil.
+	// excess is the Hold that may exceed the account until it is closed, or nil. Of the Holds that were forked from one
+	// only one at a time may.
 	excess *Hold
 	// freed is closed and replaced when bytes are released.
 	freed chan struct{}
@@ -102,11 +113,15 @@
 	// Set at creation.
 	account *Account
 	from    netip.AddrPort
+	// parent is the Hold that this one was forked from, or nil.
+	parent *Hold
 	// evict ends the transfer. It is called with the mutex of the account and must not block.
 	evict func()
 
 	// Guarded by the account's mutex. place is nil while the client is neither sending nor reading.
-	bytes      int64
+	bytes int64
+	// large is the part of bytes that large answers use.
+	large      int64
 	place      *list.Element
 	progressAt time.Time
 	// moved is the number of bytes since progressAt.
@@ -124,12 +139,55 @@
 	return &Hold{account: a, from: from, evict: evict}
 }
 
+// Fork returns an empty Hold for the reply of a server to a request, which may be read after the request has ended. It
+// does not count against the limits of the client before it is merged. It must be closed or merged.
+func (h *Hold) Fork() *Hold {
+	if h == nil {
+		return nil
+	}
+	return &Hold{account: h.account, parent: h, evict: func() {}}
+}
+
+// Merge moves the bytes of a Hold that was forked from this one to this one, and closes it. If this one is closed, they
+// are released.
+func (h *Hold) Merge(forked *Hold) {
+	if h == nil || forked == nil {
+		return
+	}
+	a := h.account
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !h.isClosed {
+		if a.excess == forked {
+			a.excess = h
+		}
+		h.large += forked.large
+		a.large += forked.large
+		h.add(forked.bytes, Request)
+	}
+	forked.close()
+}
+
+// isUnneeded reports whether the request of a Hold that was forked has ended.
+func (h *Hold) isUnneeded() bool {
+	if h == nil || h.parent == nil {
+		return false
+	}
+	h.account.mutex.Lock()
+	defer h.account.mutex.Unlock()
+	return h.parent.isClosed
+}
+
 // Reserve adds bytes to the Hold. If they do not fit, it waits until the context ends, and bytes of a request for
-// maxRequestWait at most. It then returns ErrFull. A closed Hold reserves nothing.
+// maxRequestWait at most. It then returns ErrFull. A closed Hold reserves nothing. A Hold that was forked from a closed
+// one returns ErrUnneeded.
 func (h *Hold) Reserve(ctx context.Context, n int64, use Use) error {
 	if h == nil {
 		return nil
 	}
+	if h.isUnneeded() {
+		return ErrUnneeded
+	}
 	freed := h.tryReserve(n, use)
 	if freed == nil {
 		return nil
@@ -149,6 +207,9 @@
 		case <-ctx.Done():
 			return ErrFull
 		}
+		if h.isUnneeded() {
+			return ErrUnneeded
+		}
 	}
 	return nil
 }
@@ -168,16 +229,16 @@
 	isFull := isAccountFull || isClientFull
 	isAlone := a.used == h.bytes
 	switch {
-	case isFull && (isAlone || use == Answer) && (a.excess == nil || a.excess == h):
+	case isFull && (isAlone || use == Answer) && (a.excess == nil || a.excess == h || a.excess == h.parent):
 		a.excess = h
-		h.add(n)
+		h.add(n, use)
 		return nil
 	case isClientFull:
 		a.evictStalled(n, h.from.Addr())
 	case isAccountFull:
 		a.evictStalled(n, netip.Addr{})
 	default:
-		h.add(n)
+		h.add(n, use)
 		return nil
 	}
 	return a.freed
@@ -191,7 +252,7 @@
 	if use == Request {
 		available *= requestShare
 	}
-	isAccountFull = float64(a.used+n) > available
+	isAccountFull = float64(a.used+n) > available || isLarge(n, use) && float64(a.large+n) > largeShare*float64(a.total)
 	if from.IsValid() {
 		isClientFull = float64(a.addresses[from.Addr()]+n) > available*addressShare ||
 			float64(a.connections[from]+n) > available*connectionShare
@@ -199,6 +260,9 @@
 	return isAccountFull, isClientFull
 }
 
+// isLarge reports whether bytes are part of a large answer.
+func isLarge(n int64, use Use) bool { return use == Answer && n > smallBytes }
+
 // evictStalled ends transfers that have stalled, the longest first, until enough bytes are to be released. If the address
 // is valid, it ends only transfers of that address. The mutex must be held.
 func (a *Account) evictStalled(wanted int64, of netip.Addr) {
@@ -256,15 +320,15 @@
 	h.leaveTransfers()
 }
 
-// Release returns bytes of the Hold.
-func (h *Hold) Release(n int64) {
+// Release returns bytes of the Hold that were reserved for a use.
+func (h *Hold) Release(n int64, use Use) {
 	if h == nil {
 		return
 	}
 	h.account.mutex.Lock()
 	defer h.account.mutex.Unlock()
 	if !h.isClosed {
-		h.add(-n)
+		h.add(-n, use)
 	}
 }
 
@@ -275,11 +339,18 @@
 	}
 	h.account.mutex.Lock()
 	defer h.account.mutex.Unlock()
+	h.close()
+}
+
+// close is Close for a caller that holds the account's mutex.
+func (h *Hold) close() {
 	h.leaveTransfers()
 	if h.account.excess == h {
 		h.account.excess = nil
 	}
-	h.add(-h.bytes)
+	h.account.large -= h.large
+	h.large = 0
+	h.add(-h.bytes, Request)
 	h.isClosed = true
 }
 
@@ -292,10 +363,15 @@
 }
 
 // add changes the reserved bytes and wakes the waiting requests if bytes are released. The account's mutex must be held.
-func (h *Hold) add(n int64) {
+func (h *Hold) add(n int64, use Use) {
 	a := h.account
 	h.bytes += n
 	a.used += n
+	if isLarge(max(n, -n), use) {
+		change := max(n, -h.large)
+		h.large += change
+		a.large += change
+	}
 	address := h.from.Addr()
 	if a.addresses[address] += n; a.addresses[address] == 0 {
 		delete(a.addresses, address)
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,7 +24,7 @@
 	to         Destination
 	request    *PreparedRequest
 	deadline   time.Time
-	// hold accounts for the memory of replies, and ctx ends the wait for it.
+	// hold accounts for the memory of the reply as long as it is read, and ctx ends the wait for it.
 	hold *reserver.Hold
 	ctx  context.Context
 	// isAborted is set once the context has ended.
@@ -36,8 +37,15 @@
 	if err := ctx.Err(); err != nil {
 		return Reply{}, true, eris.Wrapf(ErrNotSent, "%v", err)
 	}
+	request := reserver.HoldOf(ctx)
+	x.hold = request.Fork()
 	stop := context.AfterFunc(ctx, x.abort)
 	reply, keep, err = x.roundTrip()
+	if err == nil {
+		request.Merge(x.hold)
+	} else {
+		x.hold.Close()
+	}
 	if !stop() || x.isAborted.Load() {
 		keep = false
 	}
@@ -99,7 +107,7 @@
 // invalid status line is an error. It reports whether the connection stays open after the reply.
 func (x *exchange) read() (reply Reply, staysOpen bool, err error) {
 	before := x.connection.limiter.read
-	x.connection.limiter.beginHead()
+	x.connection.limiter.beginHead(x.reserveHead)
 	for range 1 + maxInformationalReplies {
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -118,6 +126,11 @@
 	return Reply{}, false, eris.New("too many informational replies")
 }
 
+// reserveHead reserves the memory of a large head.
+func (x *exchange) reserveHead() error {
+	return x.hold.Reserve(x.ctx, headMemory, reserver.Answer)
+}
+
 // readBody reads the complete body of a reply. It reports whether the connection stays open
 // after the reply.
 func (x *exchange) readBody(response *http.Response) (Reply, bool, error) {
@@ -127,6 +140,9 @@
 		length = 0
 	}
 	body, err := x.hold.ReadAll(x.ctx, response.Body, length, maxReplyBytes, reserver.Answer)
+	if errors.Is(err, reserver.ErrUnneeded) {
+		err = discard(response.Body)
+	}
 	if errors.Is(err, reserver.ErrTooLarge) {
 		return Reply{}, false, eris.Errorf("reply exceeds %d bytes", maxReplyBytes)
 	}
@@ -144,6 +160,15 @@
 	return reply, isFramed && !response.Close, nil
 }
 
+// discard reads the rest of a body that is not needed, so that the connection can be reused.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxReplyBytes+1))
+	if err == nil && n > maxReplyBytes {
+		return reserver.ErrTooLarge
+	}
+	return err
+}
+
 // idleTimeout returns how long a server keeps an idle connection open. It is read from the
 // Keep-Alive header, and is defaultIdleTimeout if the header contains no timeout.
 func idleTimeout(header http.Header) time.Duration {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -19,7 +19,6 @@
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/encoder"
-	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -42,6 +41,11 @@
 	// maxHeadBytes is the maximum size in bytes of a reply's status line and headers, together with
 	// those of the informational replies before it.
 	maxHeadBytes = 64 << 10
+	// smallHeadBytes is the size of the heads whose memory is not reserved. Most are below.
+	smallHeadBytes = 4 << 10
+	// headMemory is the memory in bytes that a larger head may use. Many short lines use most, as each of them has
+	// an entry in the map of headers.
+	headMemory = 16 * maxHeadBytes
 	// maxDeadConnections is the number of kept connections that may turn out to have ended before a
 	// request is given up as not sent.
 	maxDeadConnections = 2
@@ -280,7 +284,7 @@
 		if err != nil {
 			return Reply{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline, hold: reserver.HoldOf(ctx), ctx: ctx}
+		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline, ctx: ctx}
 		reply, keep, err := x.run(ctx)
 		err = p.observe(c, err)
 		if err == nil && reply.Metadata.IsLeaving && !reply.Metadata.IsWrongServer {
