--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -17,6 +17,7 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/owner"
+	"banyandock.example/banyandock/internal/reserver"
 )
 
 const (
@@ -37,6 +38,8 @@
 	pingTimeout = 5 * time.Second
 	// maxHeaderBytes is the maximum size of a reply's header in bytes.
 	maxHeaderBytes = 64 << 10
+	// receiveBufferBytes is what an HTTP/2 connection buffers of the replies that are not read yet, in bytes.
+	receiveBufferBytes = 1 << 20
 	// defaultMaxReplyBytes is the default maximum size of a reply's body in bytes.
 	defaultMaxReplyBytes = 8 << 20
 )
@@ -47,8 +50,10 @@
 	transports    map[encoder.ServerProtocol]*http.Transport
 	dialer        net.Dialer
 	maxReplyBytes int64
-	logger        zerolog.Logger
-	metricSet     metricSet
+	// account accounts for the memory of replies while they are read. If it is nil, nothing does.
+	account   *reserver.Account
+	logger    zerolog.Logger
+	metricSet metricSet
 
 	// warmups counts the goroutines that open warm connections.
 	warmups sync.WaitGroup
@@ -82,6 +87,11 @@
 	return func(c *Connector) { c.maxReplyBytes = limit }
 }
 
+// WithAccount sets the account of the memory of replies. They wait for room in it.
+func WithAccount(account *reserver.Account) Option {
+	return func(c *Connector) { c.account = account }
+}
+
 // New returns a Connector without connections.
 func New(options ...Option) *Connector {
 	c := &Connector{
@@ -115,6 +125,9 @@
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingIdleTime,
 			PingTimeout:     pingTimeout,
+
+			MaxReceiveBufferPerStream:     receiveBufferBytes,
+			MaxReceiveBufferPerConnection: receiveBufferBytes,
 		},
 	}
 }
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/owner"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/statuschecker"
 )
 
@@ -121,7 +124,9 @@
 	if err := x.checkStatus(conn, response); err != nil {
 		return owner.Result{}, x.transportFailure(outer, err)
 	}
-	reply, err := x.read(response)
+	hold := x.connector.account.Open(netip.AddrPort{}, func() {})
+	defer hold.Close()
+	reply, err := x.read(outer, response, hold)
 	if err != nil {
 		return owner.Result{}, x.transportFailure(outer, err)
 	}
@@ -179,16 +184,13 @@
 	}
 }
 
-// read reads and closes a reply's body. It returns errTooLarge if the body exceeds the limit.
-func (x *exchange) read(response *http.Response) ([]byte, error) {
+// read reads and closes a reply's body, whose memory it reserves before. It returns errTooLarge if the body exceeds the
+// limit.
+func (x *exchange) read(ctx context.Context, response *http.Response, hold *reserver.Hold) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
-	limit := x.connector.maxReplyBytes
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
+	body, err := hold.ReadAll(ctx, response.Body, response.ContentLength, x.connector.maxReplyBytes, reserver.Answer)
+	if errors.Is(err, reserver.ErrTooLarge) {
 		return nil, errTooLarge
 	}
-	return body, nil
+	return body, err
 }
--- a/internal/dockrunner/dockrunner.go
+++ b/internal/dockrunner/dockrunner.go
@@ -77,7 +77,8 @@
 	d.poller = poller.New(d.hostDescription, d.settings.Keepers, poller.LinkCaller{Pool: d.pool}, p.Clock, manifestreader.Parse, poller.WithInvariants(reportViolation))
 	d.quarantine = quarantiner.New(p.Clock)
 	d.notices = newNoticeSender(d.pool, d.poller.Leader)
-	d.connector = connector.New(connector.WithLogger(p.Log), connector.WithRegistry(p.Metrics.Metrics()))
+	d.clients = receiver.New("callers", receiver.Derive(d.settings.MemoryLimitMB, responder.MaxHeaderBytes, d.settings.Clients), p.Clock, p.Log, p.Metrics)
+	d.connector = connector.New(connector.WithLogger(p.Log), connector.WithRegistry(p.Metrics.Metrics()), connector.WithAccount(d.clients.Account()))
 	d.owner = owner.New(d.connector, p.Settings.Host,
 		owner.WithClock(p.Clock), owner.WithLogger(p.Log), owner.WithRegistry(p.Metrics.Metrics()),
 		owner.WithHandoverSender(handoverSender{d.pool}),
@@ -93,7 +94,6 @@
 	if d.settings.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(d.settings.MemoryLimitMB) * 1e6))
 	}
-	d.clients = receiver.New("callers", receiver.Derive(d.settings.MemoryLimitMB, responder.MaxHeaderBytes, d.settings.Clients), p.Clock, p.Log, p.Metrics)
 	if err := d.listen(); err != nil {
 		d.closeParts()
 		return err
