Messages between docks are accounted for where they are held

Cause: copies of a body in the queues of links, in received messages, in batches of owners and in the writes of attempts were in no account.

Fix: docks have an account of messages, in which links reserve a message before it is queued or read, and which holds it until its handler or batch has ended. What finds no room is refused truly, and the request takes another way. Bodies are not copied any more for each owner and each attempt. The wire format is unchanged.

--- a/internal/dockrunner/dockrunner.go
+++ b/internal/dockrunner/dockrunner.go
@@ -22,6 +22,7 @@
 	"banyandock.example/banyandock/internal/poller"
 	"banyandock.example/banyandock/internal/quarantiner"
 	"banyandock.example/banyandock/internal/receiver"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/responder"
 	"banyandock.example/banyandock/internal/router"
 	"banyandock.example/banyandock/internal/settingsreader"
@@ -31,12 +32,17 @@
 // memoryShare is the part of the memory limit that is set as the garbage collector's soft limit.
 const memoryShare = 0.7
 
+// messageShare is the memory that messages between docks may use, as a part of that of the callers, to which it adds.
+const messageShare = 0.5
+
 // dock is a running dock. The components are listed in the order in which they are opened. They are
 // closed in the reverse order.
 type dock struct {
 	// Set at creation.
-	process      *launcher.Process
-	settings     *settingsreader.Dock
+	process  *launcher.Process
+	settings *settingsreader.Dock
+	// messages accounts for the memory of messages between docks.
+	messages     *reserver.Account
 	pool         *linker.Pool
 	poller       *poller.Poller
 	quarantine   *quarantiner.Quarantiner
@@ -73,11 +79,13 @@
 func (d *dock) open() error {
 	p := d.process
 	reportViolation := d.reportViolation
-	d.pool = linker.NewPool(p.Self(), p.Clock)
+	limits := receiver.Derive(d.settings.MemoryLimitMB, responder.MaxHeaderBytes, d.settings.Clients)
+	d.messages = reserver.New(int64(messageShare*float64(limits.Memory)), p.Clock)
+	d.pool = linker.NewPool(p.Self(), p.Clock, linker.WithAccount(d.messages))
 	d.poller = poller.New(d.hostDescription, d.settings.Keepers, poller.LinkCaller{Pool: d.pool}, p.Clock, manifestreader.Parse, poller.WithInvariants(reportViolation))
 	d.quarantine = quarantiner.New(p.Clock)
 	d.notices = newNoticeSender(d.pool, d.poller.Leader)
-	d.clients = receiver.New("callers", receiver.Derive(d.settings.MemoryLimitMB, responder.MaxHeaderBytes, d.settings.Clients), p.Clock, p.Log, p.Metrics)
+	d.clients = receiver.New("callers", limits, p.Clock, p.Log, p.Metrics)
 	d.connector = connector.New(connector.WithLogger(p.Log), connector.WithRegistry(p.Metrics.Metrics()), connector.WithAccount(d.clients.Account()))
 	d.owner = owner.New(d.connector, p.Settings.Host,
 		owner.WithClock(p.Clock), owner.WithLogger(p.Log), owner.WithRegistry(p.Metrics.Metrics()),
@@ -114,7 +122,7 @@
 		return d.dispatcher.ServeCanary(ctx, r)
 	})
 	d.process.Events.Register(mux)
-	links, err := linker.Listen(d.settings.LinkAddress, d.process.Self(), mux, d.process.Clock)
+	links, err := linker.Listen(d.settings.LinkAddress, d.process.Self(), mux, d.process.Clock, linker.WithAccount(d.messages))
 	if err != nil {
 		return err
 	}
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -37,9 +37,10 @@
 type batch struct {
 	// Set at creation.
 	query *query
-	// hold accounts for the memory of the parts.
-	hold  *reserver.Hold
-	index map[identifier.ServiceName]int
+	// hold accounts for the memory of the parts, and message for that of the message with the request.
+	hold    *reserver.Hold
+	message *reserver.Hold
+	index   map[identifier.ServiceName]int
 	// progressAt is when a reply is due even without new parts, so that the delegating dock can
 	// see that this one is working. It is zero without a latency target.
 	progressAt time.Time
@@ -77,6 +78,8 @@
 		b.hold.Close()
 		return encoder.GatherReply{}, errStopping
 	}
+	// The request is held until the batch ends, also if the delegating dock no longer waits for a reply.
+	b.message = reserver.HoldOf(ctx).Move()
 	go b.run(key)
 	return b.awaitReply(ctx), nil
 }
@@ -195,6 +198,7 @@
 	b.finish()
 	b.awaitDelivery()
 	b.hold.Close()
+	b.message.Close()
 	f.mutex.Lock()
 	delete(f.batches, key)
 	f.mutex.Unlock()
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -380,7 +380,10 @@
 	if errors.Is(err, errPermitEnded) {
 		return q.endUnpermitted(d)
 	}
-	q.forwarder.owners.markSuspect(now, d.dock)
+	if !errors.Is(err, linker.ErrFull) {
+		// Only this message had no room.
+		q.forwarder.owners.markSuspect(now, d.dock)
+	}
 	switch {
 	case d.hasReplied:
 		// The owner may already have used up the runs that the route allows.
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -19,6 +19,8 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/reserver"
+	"banyandock.example/banyandock/internal/timekeeper"
 )
 
 const (
@@ -42,6 +44,8 @@
 	faultBlackhole
 	// faultReplyDropped delivers the request and drops the reply without an error.
 	faultReplyDropped
+	// faultFull has no memory for the request at the owner.
+	faultFull
 	// faultLate delivers the reply after the owner has been replaced.
 	faultLate
 )
@@ -88,6 +92,8 @@
 	switch f {
 	case faultRefused:
 		return encoder.GatherReply{}, linker.ErrNotSent
+	case faultFull:
+		return encoder.GatherReply{}, fmt.Errorf("%w: %w", linker.ErrRemote, linker.ErrFull)
 	case faultBlackhole:
 		<-ctx.Done()
 		return encoder.GatherReply{}, ctx.Err()
@@ -191,6 +197,45 @@
 	assert.Equal(t, c.totalRequests(), ownedShards)
 }
 
+// TestOwnerWithoutMemoryIsNotSuspected guards against owners that are passed over, also for small requests, because they
+// had no memory for a large one, which this dock then sends itself.
+func TestOwnerWithoutMemoryIsNotSuspected(t *testing.T) {
+	c := newCluster(t, nil, scatterRoute(ownedShards, 3, 0.9, time.Second))
+	c.setFault(faultFull)
+	c.getComplete()
+	assert.Equal(t, c.totalRequests(), ownedShards)
+	asked := c.gatherCalls
+	c.setFault(faultNone)
+	c.getComplete()
+	assert.Equal(t, c.gatherCalls, 2*asked)
+	assert.Equal(t, c.totalRequests(), 2*ownedShards)
+}
+
+// TestOwnerHoldsTheRequestUntilItsEnd guards against requests that are held after the reply to their message, and that no
+// account counts by then.
+func TestOwnerHoldsTheRequestUntilItsEnd(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.addShards(2, map[int]handler{1: after(300*time.Millisecond, answers(record(1)))})
+	d.setRoute(scatterRoute(2, 3, 0.9, time.Second))
+	account := reserver.New(1<<20, timekeeper.System{})
+	message := account.Open(netip.AddrPort{}, func() {})
+	assert.NilError(t, message.Reserve(t.Context(), 1000, reserver.Request))
+	request := encoder.GatherRequest{
+		Query: 1, Request: "id-1", Method: "GET", Head: []byte("GET /x/y HTTP/1.1\r\nHost: a.example\r\nRequest: id-1\r\n"),
+		Services: services(2), Rows: 3, Remaining: time.Second, Target: 90 * time.Millisecond, Attempts: 1,
+	}
+	reply, err := d.forwarder.Gather(reserver.WithHold(t.Context(), message), 1, request)
+	message.Close()
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.IsDone)
+	assert.Equal(t, account.Used(), int64(1000))
+	for !reply.IsDone {
+		reply, err = d.forwarder.More(t.Context(), 1, encoder.MoreRequest{Query: 1})
+		assert.NilError(t, err)
+	}
+	waitFor(t, func() bool { return account.Used() == 0 })
+}
+
 // TestSilentOwnerIsReplaced checks that a query is answered within 400 ms although the owners
 // freeze before they have read the request, or after they have sent it to the servers.
 func TestSilentOwnerIsReplaced(t *testing.T) {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -156,8 +156,10 @@
 		return nil
 	case err == nil:
 		return relayedOutcome(reply)
-	case errors.Is(err, linker.ErrNotSent), errors.Is(err, linker.ErrRemote):
-		q.forwarder.owners.markSuspect(now, dock)
+	case isRefusal(err):
+		if !errors.Is(err, linker.ErrFull) {
+			q.forwarder.owners.markSuspect(now, dock)
+		}
 		return nil
 	default:
 		return q.relayFailure(dock)
@@ -277,11 +279,9 @@
 		return encoder.RelayReply{}, err
 	}
 	defer f.endRelayed()
+	// The link accounts for the memory of the request, and this Hold for that of the replies.
 	hold := f.account.Open(netip.AddrPort{}, func() {})
 	defer hold.Close()
-	if hold.Reserve(ctx, int64(len(r.Body)), reserver.Request) != nil {
-		return encoder.RelayReply{}, errTooManyRelayed
-	}
 	ctx = reserver.WithHold(ctx, hold)
 	request := &Request{
 		Request: sender.Request{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
--- a/internal/linker/connection.go
+++ b/internal/linker/connection.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -29,15 +32,17 @@
 	sending      chan frame
 	receiver     receiver
 	logicalClock LogicalClock
-	closed       chan struct{}
-	tasks        sync.WaitGroup
+	// account accounts for the memory of large frames. If it is nil, nothing does.
+	account *reserver.Account
+	closed  chan struct{}
+	tasks   sync.WaitGroup
 
 	closeOnce sync.Once
 }
 
 // openConnection performs the handshake and starts the connection's goroutines. Each side
 // sends its hello before it reads the peer's.
-func openConnection(socket net.Conn, self Self, clock timekeeper.Clock, r receiver) (*connection, error) {
+func openConnection(socket net.Conn, self Self, account *reserver.Account, clock timekeeper.Clock, r receiver) (*connection, error) {
 	if err := socket.SetDeadline(clock.Now().Add(dialTimeout)); err != nil {
 		return nil, eris.Wrap(err, "set handshake deadline")
 	}
@@ -53,7 +58,7 @@
 		return nil, eris.Wrap(err, "send hello")
 	}
 	reader := bufio.NewReaderSize(socket, bufferBytes)
-	f, err := readFrame(reader)
+	f, err := readFrame(reader, account)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +77,7 @@
 		sending:      make(chan frame, sendQueueFrames),
 		receiver:     r,
 		logicalClock: self.LogicalClock,
+		account:      account,
 		closed:       make(chan struct{}),
 	}
 	c.tasks.Add(2)
@@ -80,20 +86,60 @@
 	return c, nil
 }
 
-// send queues a frame for the writer. It returns false if the connection is closed or its
-// queue is full. The frame is then never sent.
+// send queues a frame for the writer. It returns false if the connection is closed, its queue is full or its memory has no
+// room. The frame is then never sent.
 func (c *connection) send(f frame) bool {
 	select {
 	case <-c.closed:
 		return false
 	default:
 	}
+	if !f.reserveMemory(c.account, int64(f.size())) {
+		return false
+	}
+	return c.queue(f)
+}
+
+// sendAnswer queues a reply. It waits until its memory has room or the context ends, because the request has run. It
+// returns false if the connection is closed or its queue is full.
+func (c *connection) sendAnswer(ctx context.Context, f frame) bool {
+	if c.account != nil && f.size() >= smallFrameBytes {
+		f.hold = c.account.Open(netip.AddrPort{}, func() {})
+		if f.hold.Reserve(ctx, int64(f.size()), f.use()) != nil {
+			f.hold.Close()
+			// Nobody waits for the reply any more.
+			return true
+		}
+	}
+	return c.queue(f)
+}
+
+// queue adds a frame to the queue. It returns false if the queue is full.
+func (c *connection) queue(f frame) bool {
 	select {
 	case c.sending <- f:
-		return true
 	default:
+		f.hold.Close()
 		return false
 	}
+	select {
+	case <-c.closed:
+		c.releaseQueue()
+	default:
+	}
+	return true
+}
+
+// releaseQueue drops the frames that a closed connection has not sent.
+func (c *connection) releaseQueue() {
+	for {
+		select {
+		case f := <-c.sending:
+			f.hold.Close()
+		default:
+			return
+		}
+	}
 }
 
 // closeSocket closes the socket, which ends both goroutines. It does not wait for them.
@@ -101,6 +147,7 @@
 	c.closeOnce.Do(func() {
 		close(c.closed)
 		_ = c.socket.Close()
+		c.releaseQueue()
 	})
 }
 
@@ -124,7 +171,7 @@
 		if err := r.c.socket.SetReadDeadline(r.c.clock.Now().Add(peerTimeout)); err != nil {
 			return
 		}
-		f, err := readFrame(r.c.reader)
+		f, err := readFrame(r.c.reader, r.c.account)
 		if err != nil {
 			return
 		}
@@ -203,13 +250,15 @@
 			return false
 		}
 	}
+	defer clear(burst)
+	var err error
 	for _, f := range burst {
-		if writeFrame(w.writer, f) != nil {
-			return false
+		if err == nil {
+			err = writeFrame(w.writer, f)
 		}
+		f.hold.Close()
 	}
-	clear(burst)
-	return w.writer.Flush() == nil
+	return err == nil && w.writer.Flush() == nil
 }
 
 // heartbeat returns a heartbeat that carries a stamp of the logical clock. A peer whose release
--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"net/netip"
 
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/reserver"
 )
 
 // frameType determines how a frame is handled.
@@ -41,6 +43,10 @@
 	headerBytes = 4 + 1 + 2 + 8
 	// stampBytes is the size in bytes of the stamp in a heartbeat's payload.
 	stampBytes = 8
+	// smallFrameBytes is the memory of the frames that are not accounted for.
+	smallFrameBytes = 16 << 10
+	// decodeCopies is how often a received payload is in memory while it is decoded.
+	decodeCopies = 2
 )
 
 // frame is the unit of transfer on a link. It is encoded as the payload's length in 4 bytes,
@@ -50,10 +56,28 @@
 	typ     frameType
 	id      uint64
 	payload []byte
+	// tail is sent after the payload, as a part of it. It is empty in a received frame.
+	tail []byte
+	// hold accounts for the memory of the frame. It is nil for a small frame.
+	hold *reserver.Hold
+	// isDropped is set in a received frame whose payload found no room.
+	isDropped bool
 }
 
-// readFrame reads one frame. Its memory use is limited by the bytes that the sender has sent.
-func readFrame(r *bufio.Reader) (frame, error) {
+// size returns the length of the payload in bytes.
+func (f frame) size() int { return len(f.payload) + len(f.tail) }
+
+// use returns what the memory of the frame is for.
+func (f frame) use() reserver.Use {
+	if f.typ == frameReply {
+		return reserver.Answer
+	}
+	return reserver.Request
+}
+
+// readFrame reads one frame. Its memory use is limited by the bytes that the sender has sent, and reserved in the account.
+// A payload for which there is no room is skipped.
+func readFrame(r *bufio.Reader, account *reserver.Account) (frame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return frame{}, eris.Wrap(err, "read frame header")
@@ -67,14 +91,35 @@
 		kind: encoder.Kind(binary.BigEndian.Uint16(header[5:7])),
 		id:   binary.BigEndian.Uint64(header[7:15]),
 	}
+	if !f.reserveMemory(account, decodeCopies*int64(size)) {
+		f.isDropped = true
+		_, err := io.CopyN(io.Discard, r, int64(size))
+		return f, eris.Wrap(err, "skip frame payload")
+	}
 	payload, err := readPayload(r, int(size))
 	if err != nil {
+		f.hold.Close()
 		return frame{}, err
 	}
 	f.payload = payload
 	return f, nil
 }
 
+// reserveMemory reserves the memory of a frame and reports whether there is room. Frames of less than smallFrameBytes
+// always have room.
+func (f *frame) reserveMemory(account *reserver.Account, bytes int64) bool {
+	if account == nil || bytes < smallFrameBytes {
+		return true
+	}
+	hold := account.Open(netip.AddrPort{}, func() {})
+	if !hold.TryReserve(bytes, f.use()) {
+		hold.Close()
+		return false
+	}
+	f.hold = hold
+	return true
+}
+
 // readPayload reads a payload of the given size. It grows its buffer as bytes arrive, so that
 // a header alone cannot make the reader allocate MaxFrameBytes.
 func readPayload(r *bufio.Reader, size int) ([]byte, error) {
@@ -93,11 +138,11 @@
 
 // writeFrame appends one frame to the writer's buffer.
 func writeFrame(w *bufio.Writer, f frame) error {
-	if len(f.payload) > MaxFrameBytes {
-		return eris.Wrapf(ErrFrameTooLarge, "%d bytes", len(f.payload))
+	if f.size() > MaxFrameBytes {
+		return eris.Wrapf(ErrFrameTooLarge, "%d bytes", f.size())
 	}
 	var header [headerBytes]byte
-	binary.BigEndian.PutUint32(header[0:4], uint32(len(f.payload)))
+	binary.BigEndian.PutUint32(header[0:4], uint32(f.size()))
 	header[4] = byte(f.typ)
 	binary.BigEndian.PutUint16(header[5:7], uint16(f.kind))
 	binary.BigEndian.PutUint64(header[7:15], f.id)
@@ -107,5 +152,8 @@
 	if _, err := w.Write(f.payload); err != nil {
 		return eris.Wrap(err, "write frame payload")
 	}
+	if _, err := w.Write(f.tail); err != nil {
+		return eris.Wrap(err, "write frame payload")
+	}
 	return nil
 }
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -9,13 +10,16 @@
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
 // reply is the result of a call, either a payload or an error.
 type reply struct {
 	payload []byte
-	err     error
+	// hold accounts for the memory of the payload. It must be closed.
+	hold *reserver.Hold
+	err  error
 }
 
 // Link is the client side of a connection to one process. It connects at the first call and
@@ -25,6 +29,7 @@
 	clock   timekeeper.Clock
 	self    Self
 	address netip.AddrPort
+	account *reserver.Account
 
 	traffic Traffic
 	// onOpened is called with the time that it took to open a connection.
@@ -50,11 +55,12 @@
 }
 
 // NewLink returns a link to the process that listens at the address.
-func NewLink(address netip.AddrPort, self Self, clock timekeeper.Clock) *Link {
+func NewLink(address netip.AddrPort, self Self, clock timekeeper.Clock, options ...Option) *Link {
 	return &Link{
 		clock:   clock,
 		self:    self,
 		address: address,
+		account: newSettings(options).account,
 		dialing: make(chan struct{}, 1),
 		pending: map[uint64]*pendingCall{},
 
@@ -64,18 +70,20 @@
 
 // Call sends a request and waits for its reply. Its errors wrap ErrNotSent, ErrLost,
 // ErrRemote, encoder.ErrMalformed or the context's error. After a context error the peer may
-// have received the request.
+// have received the request. Those that wrap ErrFull too say that there was no memory for the message; it has not been
+// handled if they also wrap ErrNotSent or ErrRemote.
 func Call[Q, A any](ctx context.Context, l *Link, kind encoder.Kind, request Q) (A, error) {
 	var none A
-	payload, err := encoder.Encode(request)
+	payload, tail, err := encoder.EncodeParts(request)
 	if err != nil {
 		return none, eris.Wrapf(ErrNotSent, "%v", err)
 	}
-	answer, err := l.call(ctx, kind, payload)
+	answer, err := l.call(ctx, frame{typ: frameRequest, kind: kind, payload: payload, tail: tail})
 	if err != nil {
 		return none, err
 	}
-	return encoder.Decode[A](answer)
+	defer answer.hold.Close()
+	return encoder.Decode[A](answer.payload)
 }
 
 // Send sends a one-way message, which has no reply. An error means that it was not sent. A nil
@@ -126,41 +134,44 @@
 }
 
 // call performs one request on the current connection, which it opens if necessary.
-func (l *Link) call(ctx context.Context, kind encoder.Kind, payload []byte) ([]byte, error) {
+func (l *Link) call(ctx context.Context, f frame) (reply, error) {
 	c, err := l.connect(ctx)
 	if err != nil {
-		return nil, err
+		return reply{}, err
 	}
-	return l.exchange(ctx, c, frame{typ: frameRequest, kind: kind, payload: payload})
+	return l.exchange(ctx, c, f)
 }
 
 // exchange sends a frame with a new identifier and waits for the frame that answers it.
-func (l *Link) exchange(ctx context.Context, c *connection, f frame) ([]byte, error) {
+func (l *Link) exchange(ctx context.Context, c *connection, f frame) (reply, error) {
 	id, p := l.register(c)
-	defer l.unregister(id)
+	defer l.unregister(id, p)
 	f.id = id
-	if !c.send(f) {
-		return nil, eris.Wrapf(ErrNotSent, "connection to %s is closed or its queue is full", l.address)
+	if !f.reserveMemory(l.account, int64(f.size())) {
+		return reply{}, fmt.Errorf("%w: %w", ErrNotSent, ErrFull)
+	}
+	if !c.queue(f) {
+		return reply{}, eris.Wrapf(ErrNotSent, "connection to %s is closed or its queue is full", l.address)
 	}
 	select {
 	case r := <-p.done:
-		return r.payload, r.err
+		return r, r.err
 	case <-c.closed:
 		return l.lastReply(p)
 	case <-ctx.Done():
 		c.send(frame{typ: frameCancel, id: id})
-		return nil, eris.Wrap(ctx.Err(), "waiting for reply")
+		return reply{}, eris.Wrap(ctx.Err(), "waiting for reply")
 	}
 }
 
 // lastReply returns a reply that arrived before the connection closed, or an error that wraps
 // ErrLost if there is none.
-func (l *Link) lastReply(p *pendingCall) ([]byte, error) {
+func (l *Link) lastReply(p *pendingCall) (reply, error) {
 	select {
 	case r := <-p.done:
-		return r.payload, r.err
+		return r, r.err
 	default:
-		return nil, eris.Wrapf(ErrLost, "%s", l.address)
+		return reply{}, eris.Wrapf(ErrLost, "%s", l.address)
 	}
 }
 
@@ -175,11 +186,16 @@
 }
 
 // unregister removes a pending call. A reply that arrives later matches no call and is
-// dropped.
-func (l *Link) unregister(id uint64) {
+// dropped, as is one that has arrived and was not taken.
+func (l *Link) unregister(id uint64, p *pendingCall) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.pending, id)
+	select {
+	case r := <-p.done:
+		r.hold.Close()
+	default:
+	}
 }
 
 // connect returns the open connection or opens one. Its errors wrap ErrNotSent.
@@ -230,7 +246,7 @@
 	if err == nil {
 		l.onOpened(l.address, l.clock.Now().Sub(began))
 		socket = countingSocket{socket, &l.traffic}
-		c, err = openConnection(socket, l.self, l.clock, l)
+		c, err = openConnection(socket, l.self, l.account, l.clock, l)
 		if err != nil {
 			_ = socket.Close()
 		}
@@ -262,20 +278,32 @@
 // receive completes the pending call that a reply answers.
 func (l *Link) receive(c *connection, f frame) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	p := l.pending[f.id]
 	delete(l.pending, f.id)
-	l.mutex.Unlock()
 	// A reply that matches no pending call, or a call on another connection, is late and is
 	// dropped.
 	if p == nil || p.connection != c {
+		f.hold.Close()
 		return
 	}
-	switch f.typ {
-	case frameReply, frameEcho:
-		p.done <- reply{payload: f.payload}
-	case frameError:
-		p.done <- reply{err: eris.Wrapf(ErrRemote, "%s", f.payload)}
-	default:
-		p.done <- reply{err: eris.Wrapf(encoder.ErrMalformed, "frame type %d", f.typ)}
+	p.done <- newReply(f)
+}
+
+// newReply returns the result of a call that a frame answers.
+func newReply(f frame) reply {
+	switch {
+	case f.typ != frameReply && f.typ != frameEcho && f.typ != frameError:
+		f.hold.Close()
+		return reply{err: eris.Wrapf(encoder.ErrMalformed, "frame type %d", f.typ)}
+	case f.isDropped:
+		return reply{err: fmt.Errorf("%w: %w", ErrLost, ErrFull)}
+	case f.typ != frameError:
+		return reply{payload: f.payload, hold: f.hold}
+	}
+	f.hold.Close()
+	if string(f.payload) == ErrFull.Error() {
+		return reply{err: fmt.Errorf("%w: %w", ErrRemote, ErrFull)}
 	}
+	return reply{err: eris.Wrapf(ErrRemote, "%s", f.payload)}
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -51,6 +51,9 @@
 	ErrHandshake = eris.New("handshake failed")
 	// ErrRemote reports an error that the peer's handler returned.
 	ErrRemote = eris.New("peer reported an error")
+	// ErrFull reports, besides ErrNotSent, ErrRemote or ErrLost, that there was no memory for a message. A peer sends
+	// its text.
+	ErrFull = eris.New("no memory is left for messages")
 )
 
 // Hello is the handshake message that each side sends first.
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -159,7 +159,7 @@
 	f.Add(b.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		got, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		got, err := readFrame(bufio.NewReader(bytes.NewReader(data)), nil)
 		if err == nil {
 			assert.Assert(t, len(got.payload) <= len(data))
 			_, _ = acceptHello(got)
--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -11,8 +11,9 @@
 // Pool holds one Link for each address. It is safe for concurrent use.
 type Pool struct {
 	// Set at creation.
-	clock timekeeper.Clock
-	self  Self
+	clock   timekeeper.Clock
+	self    Self
+	options []Option
 	// onOpened is called with the time that it took to open a connection.
 	onOpened func(address netip.AddrPort, elapsed time.Duration)
 
@@ -22,8 +23,8 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(self Self, clock timekeeper.Clock) *Pool {
-	return &Pool{clock: clock, self: self, links: map[netip.AddrPort]*Link{}, onOpened: func(netip.AddrPort, time.Duration) {}}
+func NewPool(self Self, clock timekeeper.Clock, options ...Option) *Pool {
+	return &Pool{clock: clock, self: self, options: options, links: map[netip.AddrPort]*Link{}, onOpened: func(netip.AddrPort, time.Duration) {}}
 }
 
 // OnOpened sets the function that is called after a link was opened, with the time that it took. The
@@ -38,7 +39,7 @@
 	defer p.mutex.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = NewLink(address, p.self, p.clock)
+		l = NewLink(address, p.self, p.clock, p.options...)
 		l.onOpened = p.onOpened
 		p.links[address] = l
 	}
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -9,11 +9,12 @@
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/encoder"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
 // handler processes one request and returns the encoded reply.
-type handler func(ctx context.Context, peer Peer, payload []byte) ([]byte, error)
+type handler func(ctx context.Context, peer Peer, payload []byte) (frame, error)
 
 // Mux maps message kinds to handlers. Handlers must be registered before the Server starts.
 type Mux struct {
@@ -28,16 +29,20 @@
 // Handle registers the handler for a kind. The handler's context ends when the caller cancels
 // the request, its connection breaks or the server closes.
 func Handle[Q, A any](m *Mux, kind encoder.Kind, f func(ctx context.Context, peer Peer, request Q) (A, error)) {
-	m.handlers[kind] = func(ctx context.Context, peer Peer, payload []byte) ([]byte, error) {
+	m.handlers[kind] = func(ctx context.Context, peer Peer, payload []byte) (frame, error) {
 		request, err := encoder.Decode[Q](payload)
 		if err != nil {
-			return nil, err
+			return frame{}, err
 		}
+		// The payload is not needed any more.
+		reserver.HoldOf(ctx).Release(int64(len(payload)), reserver.Request)
 		answer, err := f(ctx, peer, request)
 		if err != nil {
-			return nil, err
+			return frame{}, err
 		}
-		return encoder.Encode(answer)
+		reply := frame{typ: frameReply, kind: kind}
+		reply.payload, reply.tail, err = encoder.EncodeParts(answer)
+		return reply, err
 	}
 }
 
@@ -48,6 +53,7 @@
 	clock    timekeeper.Clock
 	self     Self
 	mux      *Mux
+	account  *reserver.Account
 	listener net.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -60,7 +66,7 @@
 }
 
 // Listen starts a server that listens at the address, or at self.Bind if that is set.
-func Listen(address netip.AddrPort, self Self, mux *Mux, clock timekeeper.Clock) (*Server, error) {
+func Listen(address netip.AddrPort, self Self, mux *Mux, clock timekeeper.Clock, options ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", self.listenAddress(address).String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen at %s", address)
@@ -70,6 +76,7 @@
 		clock:       clock,
 		self:        self,
 		mux:         mux,
+		account:     newSettings(options).account,
 		listener:    listener,
 		ctx:         ctx,
 		cancel:      cancel,
@@ -152,7 +159,7 @@
 // run performs the handshake and returns when the connection has closed.
 func (sc *serverConnection) run() {
 	defer sc.server.tasks.Done()
-	c, err := openConnection(sc.socket, sc.server.self, sc.server.clock, sc)
+	c, err := openConnection(sc.socket, sc.server.self, sc.server.account, sc.server.clock, sc)
 	if err != nil {
 		_ = sc.socket.Close()
 		return
@@ -218,34 +225,40 @@
 func (e *exchange) run() {
 	defer e.sc.server.tasks.Done()
 	defer e.finish()
-	payload, err := e.handle()
+	answer, err := e.handle()
 	if e.request.typ == frameOneWay {
 		return
 	}
-	answer := frame{typ: frameReply, kind: e.request.kind, id: e.request.id, payload: payload}
 	if err != nil {
-		answer.typ = frameError
-		answer.payload = []byte(err.Error())
+		answer = frame{typ: frameError, kind: e.request.kind, payload: []byte(err.Error())}
 	}
-	if !e.connection.send(answer) {
+	answer.id = e.request.id
+	if !e.connection.sendAnswer(e.ctx, answer) {
 		// The reply did not fit into the send queue. Closing the connection ends the caller's
 		// wait for it.
 		e.connection.closeSocket()
 	}
 }
 
-// handle calls the handler that is registered for the request's kind.
-func (e *exchange) handle() ([]byte, error) {
+// handle calls the handler that is registered for the request's kind. A request for which there was no room is refused.
+func (e *exchange) handle() (frame, error) {
 	h := e.sc.server.mux.handlers[e.request.kind]
-	if h == nil {
-		return nil, eris.Errorf("no handler for kind %d", e.request.kind)
+	switch {
+	case e.request.isDropped:
+		return frame{}, ErrFull
+	case h == nil:
+		return frame{}, eris.Errorf("no handler for kind %d", e.request.kind)
 	}
-	return h(e.ctx, e.connection.peer, e.request.payload)
+	payload := e.request.payload
+	// The handler must not keep the payload in memory.
+	e.request.payload = nil
+	return h(reserver.WithHold(e.ctx, e.request.hold), e.connection.peer, payload)
 }
 
 // finish releases the request's context and unregisters the request.
 func (e *exchange) finish() {
 	e.cancel()
+	e.request.hold.Close()
 	if e.request.typ != frameRequest {
 		return
 	}
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -9,6 +9,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -127,7 +128,8 @@
 	// moved is the number of bytes since progressAt.
 	moved     int64
 	isEvicted bool
-	isClosed  bool
+	// isClosed is written with the mutex held.
+	isClosed atomic.Bool
 }
 
 // Open returns an empty Hold for a request from an address. evict must end the request's transfer without blocking. The
@@ -148,24 +150,24 @@
 	return &Hold{account: h.account, parent: h, evict: func() {}}
 }
 
-// Merge moves the bytes of a Hold that was forked from this one to this one, and closes it. If this one is closed, they
-// are released.
-func (h *Hold) Merge(forked *Hold) {
-	if h == nil || forked == nil {
+// Merge moves the bytes of another Hold of the account, such as one that was forked from this one, to this one, and closes
+// it. If this one is closed, they are released.
+func (h *Hold) Merge(other *Hold) {
+	if h == nil || other == nil {
 		return
 	}
 	a := h.account
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if !h.isClosed {
-		if a.excess == forked {
+	if !h.isClosed.Load() {
+		if a.excess == other {
 			a.excess = h
 		}
-		h.large += forked.large
-		a.large += forked.large
-		h.add(forked.bytes, Request)
+		h.large += other.large
+		a.large += other.large
+		h.add(other.bytes, Request)
 	}
-	forked.close()
+	other.close()
 }
 
 // isUnneeded reports whether the request of a Hold that was forked has ended.
@@ -173,9 +175,7 @@
 	if h == nil || h.parent == nil {
 		return false
 	}
-	h.account.mutex.Lock()
-	defer h.account.mutex.Unlock()
-	return h.parent.isClosed
+	return h.parent.isClosed.Load()
 }
 
 // Reserve adds bytes to the Hold. If they do not fit, it waits until the context ends, and bytes of a request for
@@ -214,6 +214,22 @@
 	return nil
 }
 
+// TryReserve adds bytes to the Hold and reports whether they fit. It does not wait.
+func (h *Hold) TryReserve(n int64, use Use) bool {
+	return h == nil || h.tryReserve(n, use) == nil
+}
+
+// Move returns a new Hold of the same account with the bytes of this one, which it closes. The bytes are then held until the
+// new one is closed.
+func (h *Hold) Move() *Hold {
+	if h == nil {
+		return nil
+	}
+	moved := &Hold{account: h.account, evict: func() {}}
+	moved.Merge(h)
+	return moved
+}
+
 // tryReserve adds bytes to the Hold. If they do not fit, it ends stalled transfers and returns a channel that is
 // closed when bytes are released. One Hold at a time may exceed the account: that of a request that is alone,
 // because the limits of bodies allow it, or of an answer, because two answers that are half gathered could
@@ -222,7 +238,7 @@
 	a := h.account
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if h.isClosed {
+	if h.isClosed.Load() {
 		return nil
 	}
 	isAccountFull, isClientFull := h.exceeds(n, use)
@@ -294,7 +310,7 @@
 	a := h.account
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if h.isEvicted || h.isClosed {
+	if h.isEvicted || h.isClosed.Load() {
 		return false
 	}
 	h.moved += int64(n)
@@ -327,7 +343,7 @@
 	}
 	h.account.mutex.Lock()
 	defer h.account.mutex.Unlock()
-	if !h.isClosed {
+	if !h.isClosed.Load() {
 		h.add(-n, use)
 	}
 }
@@ -351,7 +367,7 @@
 	h.account.large -= h.large
 	h.large = 0
 	h.add(-h.bytes, Request)
-	h.isClosed = true
+	h.isClosed.Store(true)
 }
 
 // leaveTransfers removes the Hold from the transfers. The account's mutex must be held.
--- a/internal/routedockrunner/peers.go
+++ b/internal/routedockrunner/peers.go
@@ -65,7 +65,7 @@
 	linker.Handle(mux, encoder.KindRoute, func(ctx context.Context, _ linker.Peer, r encoder.RouteRequest) (encoder.RouteReply, error) {
 		return d.preview(ctx, r), nil
 	})
-	links, err := linker.Listen(d.settings.LinkAddress, d.process.Self(), mux, d.process.Clock)
+	links, err := linker.Listen(d.settings.LinkAddress, d.process.Self(), mux, d.process.Clock, linker.WithAccount(d.messages))
 	if err != nil {
 		return err
 	}
--- a/internal/routedockrunner/routedockrunner.go
+++ b/internal/routedockrunner/routedockrunner.go
@@ -24,6 +24,7 @@
 	"banyandock.example/banyandock/internal/packer"
 	"banyandock.example/banyandock/internal/receiver"
 	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
 	"banyandock.example/banyandock/internal/settingsreader"
@@ -44,6 +45,9 @@
 	// memoryShare is the part of the memory limit that is set as the garbage collector's soft
 	// limit.
 	memoryShare = 0.7
+	// messageShare is the memory that messages between docks may use, as a part of that of the callers. It adds to
+	// it: a dock that receives the requests of many others must not refuse its own callers for them.
+	messageShare = 0.5
 )
 
 // StaleRetryAfter is the time after which a caller may retry a request that the configuration does not permit,
@@ -73,9 +77,11 @@
 
 // Dock is a running dock.
 type Dock struct {
-	process   *launcher.Process
-	settings  *settingsreader.RouteDock
-	pool      *linker.Pool
+	process  *launcher.Process
+	settings *settingsreader.RouteDock
+	pool     *linker.Pool
+	// messages accounts for the memory of messages between docks.
+	messages  *reserver.Account
 	sender    *sender.Sender
 	forwarder *forwarder.Forwarder
 	watcher   *watcher.Watcher
@@ -107,9 +113,12 @@
 	if settings.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimitMB) * 1e6))
 	}
-	d := &Dock{process: p, settings: settings, pool: linker.NewPool(p.Self(), p.Clock)}
+	limits := receiver.Derive(settings.MemoryLimitMB, maxHeaderBytes, settings.Clients)
+	d := &Dock{process: p, settings: settings}
+	d.messages = reserver.New(int64(messageShare*float64(limits.Memory)), p.Clock)
+	d.pool = linker.NewPool(p.Self(), p.Clock, linker.WithAccount(d.messages))
 	d.checks = receiver.New("checks", receiver.Support(), p.Clock, p.Log, p.Metrics)
-	d.callers = receiver.New("callers", receiver.Derive(settings.MemoryLimitMB, maxHeaderBytes, settings.Clients), p.Clock, p.Log, p.Metrics)
+	d.callers = receiver.New("callers", limits, p.Clock, p.Log, p.Metrics)
 	d.sender = sender.New(adapter.Protocol, p.Clock, p.Metrics.Metrics())
 	d.forwarder = forwarder.New(forwarder.Settings{
 		Domain:      settings.Domain,
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -65,7 +66,7 @@
 	if x.to.OnWrite != nil {
 		x.to.OnWrite()
 	}
-	if n, err := x.connection.socket.Write(x.encode()); err != nil {
+	if n, err := x.write(); err != nil {
 		if n == 0 {
 			// The connection had ended before, so no byte of the request was sent.
 			return Reply{}, false, fmt.Errorf("%w: write: %w", ErrNotSent, err)
@@ -89,18 +90,27 @@
 	return Reply{}, false, eris.Wrap(ErrLost, "replies to other requests")
 }
 
-// encode returns the bytes of the request with the headers of this attempt.
-func (x *exchange) encode() []byte {
+// write writes the request and returns the number of bytes written. A large body is not copied.
+func (x *exchange) write() (int64, error) {
+	head := x.encodeHead()
+	if len(x.request.Body) <= copiedBytes {
+		n, err := x.connection.socket.Write(append(head, x.request.Body...))
+		return int64(n), err
+	}
+	return (&net.Buffers{head, x.request.Body}).WriteTo(x.connection.socket)
+}
+
+// encodeHead returns the head of the request with the headers of this attempt. It has room for a small body.
+func (x *exchange) encodeHead() []byte {
 	r := x.request
 	remaining := time.Duration(0)
 	if !x.deadline.IsZero() {
 		remaining = max(time.Millisecond, x.deadline.Sub(x.sender.clock.Now()))
 	}
-	b := make([]byte, 0, len(r.Head)+len(r.Body)+attemptHeaderBytes)
+	b := make([]byte, 0, len(r.Head)+min(len(r.Body), copiedBytes)+attemptHeaderBytes)
 	b = append(b, r.Head...)
 	b = x.sender.protocol.AppendAttemptHeaders(b, Attempt{Remaining: remaining, Server: x.to.ID})
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // read reads one reply and skips at most maxInformationalReplies informational ones (1xx). A reply with an
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -57,6 +57,8 @@
 	maxInformationalReplies = 5
 	// attemptHeaderBytes is the buffer space reserved for the headers of an attempt.
 	attemptHeaderBytes = 160
+	// copiedBytes is the size of the bodies that are copied behind the head, so that one write sends both.
+	copiedBytes = 4 << 10
 	// readerBytes is the size of a connection's read buffer in bytes.
 	readerBytes = 8 << 10
 )
