forwarder: the choice of senders is a package of its own, delegator

The assignment of shards to docks, and which of them are passed over, needs neither requests nor connections. No behaviour changes.

--- a/internal/forwarder/connections.go
+++ b/internal/forwarder/connections.go
@@ -41,9 +41,9 @@
 
 // ConnectPeers opens the links to the other docks that own shards.
 func (f *Forwarder) ConnectPeers(ctx context.Context) {
-	for _, address := range f.owners.ownerAddresses() {
+	for _, address := range f.delegator.OwnerAddresses() {
 		// The error is ignored, because requests to an unreachable dock fail and are handled then.
-		_ = f.owners.peers.Connect(ctx, address)
+		_ = f.peers.Connect(ctx, address)
 	}
 }
 
--- a/internal/forwarder/crossing.go
+++ b/internal/forwarder/crossing.go
@@ -64,7 +64,7 @@
 	f.relays.mutex.Lock()
 	docks := f.relays.docks
 	f.relays.mutex.Unlock()
-	for _, d := range slices.Concat(f.owners.listDomainDocks(), docks) {
+	for _, d := range slices.Concat(f.delegator.Docks(), docks) {
 		if d.Address == address && f.selector.ObserveLink(f.clock.Now(), d.Domain, elapsed) {
 			f.onTargetsChanged()
 		}
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"banyandock.example/banyandock/internal/assigner"
+	"banyandock.example/banyandock/internal/delegator"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
@@ -131,15 +132,15 @@
 		// A request to a single service is handed over as a whole by a dock that may not send it.
 		return q.keepPermitted(services)
 	}
-	groups, ungrouped := f.owners.divide(services)
+	groups, ungrouped := f.delegator.Divide(services)
 	p := q.keepPermitted(ungrouped)
 	for _, g := range groups {
-		switch dock, kind := f.owners.choose(now, g, nil, q.maySend(g.Services)); kind {
-		case sendDelegated:
+		switch dock, kind := f.delegator.Choose(now, g, nil, q.maySend(g.Services)); kind {
+		case delegator.Delegate:
 			p.delegated = append(p.delegated, plannedDelegation{dock: dock, group: g})
-		case sendSelf:
+		case delegator.SendSelf:
 			p.own = append(p.own, g.Services...)
-		case sendNone:
+		case delegator.SendNone:
 			p.unsent = append(p.unsent, g.Services...)
 		}
 	}
@@ -188,7 +189,7 @@
 // newDelegation returns the delegation of a group to a sender. Tried holds the senders that it replaces.
 func (q *query) newDelegation(now time.Time, dock encoder.Dock, g assigner.Group, tried []identifier.HostName) *delegation {
 	d := &delegation{
-		query: q, dock: dock, services: g.Services, id: q.forwarder.owners.nextID(),
+		query: q, dock: dock, services: g.Services, id: q.forwarder.lastQuery.Add(1),
 		group: g, tried: append(slices.Clone(tried), dock.Host),
 		silenceDeadline: now.Add(defaultSilenceTimeout), more: make(chan struct{}, 1), pending: map[int]bool{},
 	}
@@ -265,7 +266,7 @@
 		case <-q.finished:
 			return
 		}
-		reply, err = f.owners.peers.More(q.ctx, d.dock.Address, encoder.MoreRequest{Query: d.id})
+		reply, err = f.peers.More(q.ctx, d.dock.Address, encoder.MoreRequest{Query: d.id})
 	}
 }
 
@@ -275,7 +276,7 @@
 	if !q.usePermit() {
 		return encoder.GatherReply{}, errPermitEnded
 	}
-	return q.forwarder.owners.peers.Gather(q.ctx, d.dock.Address, d.gatherRequest(q.forwarder.clock.Now()))
+	return q.forwarder.peers.Gather(q.ctx, d.dock.Address, d.gatherRequest(q.forwarder.clock.Now()))
 }
 
 // mayHaveRun reports whether a server may have run the request for the delegation.
@@ -324,7 +325,7 @@
 	}
 	if len(unknown) > 0 {
 		// The sender's directory is older than this dock's.
-		q.forwarder.owners.markSuspect(now, d.dock)
+		q.forwarder.delegator.MarkSuspect(now, d.dock)
 		if o := q.reroute(now, d, unknown, d.earlierRuns); o != nil {
 			return o
 		}
@@ -382,7 +383,7 @@
 	}
 	if !errors.Is(err, linker.ErrFull) {
 		// Only this message had no room.
-		q.forwarder.owners.markSuspect(now, d.dock)
+		q.forwarder.delegator.MarkSuspect(now, d.dock)
 	}
 	switch {
 	case d.hasReplied:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"banyandock.example/banyandock/internal/accuser"
+	"banyandock.example/banyandock/internal/delegator"
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/locator"
@@ -117,8 +118,14 @@
 	// Written by Configure.
 	table atomic.Pointer[matcher.Table]
 
-	// owners assigns the shards to the docks that send to them.
-	owners       *owners
+	// host is this dock's name. peers sends messages to other docks. If it is nil, this dock sends to all
+	// shards itself.
+	host  identifier.HostName
+	peers Peers
+	// delegator assigns the shards to the docks that send to them.
+	delegator *delegator.Delegator
+	// lastQuery is the number of the last query that was delegated.
+	lastQuery    atomic.Uint64
 	crashTracker *crashTracker
 	// accuser holds the requests that servers have not answered, and endChecker checks whether these
 	// servers have ended.
@@ -182,7 +189,9 @@
 		batches:          map[batchKey]*batch{},
 		crashTracker:     newCrashTracker(),
 		accuser:          accuser.New(),
-		owners:           &owners{self: settings.Host, peers: settings.Peers, suspectedUntil: map[netip.AddrPort]time.Time{}},
+		host:             settings.Host,
+		peers:            settings.Peers,
+		delegator:        delegator.New(settings.Host),
 	}
 	f.ending.ctx, f.ending.cancel = context.WithCancel(ctx)
 	f.tokens = &tokens{forwarder: f}
@@ -238,10 +247,14 @@
 
 // updateOwnership reassigns the shards to the docks.
 func (f *Forwarder) updateOwnership() {
-	ownership := f.owners.assign(f.table.Load(), f.selector)
+	table := f.table.Load()
+	if f.peers == nil {
+		table = nil
+	}
+	ownership := f.delegator.Assign(table, f.selector)
 	if f.selector.SetOwnership(ownership) {
 		f.log.Info().Int(recorder.FieldCount, ownership.CountOwned()).
-			Int(recorder.FieldFellows, f.owners.countDomainDocks()).Msg(recorder.EventOwners)
+			Int(recorder.FieldFellows, f.delegator.CountDocks()).Msg(recorder.EventOwners)
 		f.trimConnections()
 	}
 	f.onTargetsChanged()
@@ -250,7 +263,7 @@
 // SetDomainDocks replaces the list of docks in this dock's failure domain, which includes this
 // dock.
 func (f *Forwarder) SetDomainDocks(docks []encoder.Dock) {
-	f.owners.setDomainDocks(docks)
+	f.delegator.SetDocks(docks)
 	f.updateOwnership()
 }
 
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -118,7 +118,7 @@
 
 // relayTrial hands a suspected request over to a dock that may send it to the service to try first.
 func (q *query) relayTrial(first identifier.ServiceName) Outcome {
-	if o := q.relayTo(q.forwarder.owners.sendersOf(first)); o != nil {
+	if o := q.relayTo(q.forwarder.delegator.SendersOf(first)); o != nil {
 		return o
 	}
 	return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -62,8 +62,10 @@
 	mutex       sync.Mutex
 	fault       fault
 	gatherCalls int
-	moreCalls   int
-	relayCalls  int
+	// asked counts the calls of Gather by the dock that was asked.
+	asked      map[netip.AddrPort]int
+	moreCalls  int
+	relayCalls int
 	// refusals is the number of the next requests to docks that are not sent.
 	refusals int
 	// firstFault, if it is set, becomes the fault of the links to firstDock, which is the first dock that
@@ -76,6 +78,7 @@
 func (c *cluster) Gather(ctx context.Context, dock netip.AddrPort, r encoder.GatherRequest) (encoder.GatherReply, error) {
 	c.mutex.Lock()
 	c.gatherCalls++
+	c.asked[dock]++
 	f := c.fault
 	if c.refusals > 0 {
 		c.refusals--
@@ -150,7 +153,7 @@
 // route to all shards. special replaces the handlers of some shards by index.
 func newCluster(t *testing.T, special map[int]handler, r matcher.Route) *cluster {
 	t.Helper()
-	c := &cluster{deployment: newDeployment(t, ampleBudget)}
+	c := &cluster{deployment: newDeployment(t, ampleBudget), asked: map[netip.AddrPort]int{}}
 	c.addShards(ownedShards, special)
 	domainDocks := []encoder.Dock{}
 	for i := range docksOfDomain {
@@ -204,10 +207,11 @@
 	c.setFault(faultFull)
 	c.getComplete()
 	assert.Equal(t, c.totalRequests(), ownedShards)
-	asked := c.gatherCalls
 	c.setFault(faultNone)
 	c.getComplete()
-	assert.Equal(t, c.gatherCalls, 2*asked)
+	for dock, calls := range c.asked {
+		assert.Equal(t, calls, 2, "the same docks are asked again, not %s", dock)
+	}
 	assert.Equal(t, c.totalRequests(), 2*ownedShards)
 }
 
--- a/internal/forwarder/preview.go
+++ b/internal/forwarder/preview.go
@@ -29,7 +29,7 @@
 // Preview tells what this dock would do now with a request, and why. It asks for no permit and no token.
 func (f *Forwarder) Preview(ctx context.Context, r encoder.RouteRequest) encoder.RouteReply {
 	p := &preview{forwarder: f, now: f.clock.Now()}
-	p.reply = encoder.RouteReply{Dock: f.owners.self, IsDetached: f.IsDetached(), IsStopping: f.ending.at.Load() != nil}
+	p.reply = encoder.RouteReply{Dock: f.host, IsDetached: f.IsDetached(), IsStopping: f.ending.at.Load() != nil}
 	if r.Key != "" {
 		p.reply.KeyHash = r.Key.String()
 	}
@@ -164,7 +164,7 @@
 // is none.
 func (p *preview) sendThrough(service identifier.ServiceName, otherwise Refused) {
 	f := p.forwarder
-	if senders := f.orderSenders(p.now, f.owners.sendersOf(service)); len(senders) > 0 {
+	if senders := f.orderSenders(p.now, f.delegator.SendersOf(service)); len(senders) > 0 {
 		p.addSender(senders[0].Host, 1)
 		return
 	}
@@ -238,7 +238,7 @@
 	if len(services) == 0 {
 		return
 	}
-	p.addSender(p.forwarder.owners.self, len(services))
+	p.addSender(p.forwarder.host, len(services))
 	latency := p.forwarder.latency(p.query.route.Name)
 	for _, service := range services {
 		p.chooseServer(newJob(p.query, service, latency))
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -59,11 +59,11 @@
 	docks := f.relays.docks
 	f.relays.mutex.Unlock()
 	if len(docks) == 0 {
-		docks = f.owners.listDomainDocks()
+		docks = f.delegator.Docks()
 	}
 	candidates := []encoder.Dock{}
 	for _, d := range docks {
-		if d.Host != f.owners.self && d.Address.IsValid() && !tried[d.Host] && !f.owners.isSuspect(now, d) {
+		if d.Host != f.host && d.Address.IsValid() && !tried[d.Host] && !f.delegator.IsSuspect(now, d) {
 			candidates = append(candidates, d)
 		}
 	}
@@ -128,7 +128,7 @@
 func (f *Forwarder) orderSenders(now time.Time, docks []encoder.Dock) []encoder.Dock {
 	ordered := slices.Clone(docks)
 	slices.SortStableFunc(ordered, func(a, b encoder.Dock) int {
-		return compareBool(f.owners.isSuspect(now, a), f.owners.isSuspect(now, b))
+		return compareBool(f.delegator.IsSuspect(now, a), f.delegator.IsSuspect(now, b))
 	})
 	return ordered
 }
@@ -158,7 +158,7 @@
 		return relayedOutcome(reply)
 	case isRefusal(err):
 		if !errors.Is(err, linker.ErrFull) {
-			q.forwarder.owners.markSuspect(now, dock)
+			q.forwarder.delegator.MarkSuspect(now, dock)
 		}
 		return nil
 	default:
@@ -185,14 +185,14 @@
 	now := f.clock.Now()
 	switch {
 	case !now.Before(q.giveUpAt()):
-		f.owners.markSuspect(now, dock)
+		f.delegator.MarkSuspect(now, dock)
 		return Failed{Reason: ReasonTimeout}
 	case q.ctx.Err() != nil:
 		return Failed{Reason: ReasonCallerLeft}
 	case f.ending.ctx.Err() != nil:
 		return Failed{Reason: ReasonStopping}
 	default:
-		f.owners.markSuspect(now, dock)
+		f.delegator.MarkSuspect(now, dock)
 		return Failed{Reason: ReasonLost}
 	}
 }
@@ -207,7 +207,7 @@
 	defer context.AfterFunc(f.ending.ctx, cancel)()
 	r := &q.request.Request
 	hasPermit := q.hasPermit()
-	reply, err := f.owners.peers.Relay(ctx, dock.Address, encoder.RelayRequest{
+	reply, err := f.peers.Relay(ctx, dock.Address, encoder.RelayRequest{
 		Request: r.ID, Method: r.Method, Target: r.Target, Path: q.request.Path, Host: r.Host,
 		Header: r.Header, Body: r.Body, Remaining: q.deadline.Sub(f.clock.Now()) - linkRoundTrip, Configuration: q.configurationNumber,
 		Attempts: attempts, Customer: string(q.customerName()),
@@ -355,7 +355,7 @@
 
 // canRelay reports whether the request may be handed over to other docks.
 func (q *query) canRelay() bool {
-	return q.forwarder.owners.peers != nil && q.table != nil && !q.request.isRelayed
+	return q.forwarder.peers != nil && q.table != nil && !q.request.isRelayed
 }
 
 // isServerless reports whether a query was refused because this dock reaches no server, though others
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/assigner"
+	"banyandock.example/banyandock/internal/delegator"
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/selector"
 )
@@ -19,7 +20,7 @@
 			continue
 		}
 		f := q.forwarder
-		f.owners.markSuspect(now, d.dock)
+		f.delegator.MarkSuspect(now, d.dock)
 		d.ownerFailure = ownerFailureSilent
 		if !f.selector.MayRepeatAll(now, d.services, selector.RequiredRetry) {
 			// The owner may only be slow, so the query keeps waiting for its parts.
@@ -65,8 +66,8 @@
 		return q.sendDirectly(now, services, runs)
 	}
 	g := assigner.Group{Services: services, Senders: d.group.Senders}
-	dock, kind := q.forwarder.owners.choose(now, g, d.tried, false)
-	if kind != sendDelegated {
+	dock, kind := q.forwarder.delegator.Choose(now, g, d.tried, false)
+	if kind != delegator.Delegate {
 		return q.failRerouted(now, services, runs)
 	}
 	next := q.newDelegation(now, dock, g, d.tried)
--- a/internal/forwarder/single.go
+++ b/internal/forwarder/single.go
@@ -15,7 +15,7 @@
 	if !f.selector.HasReachable(service, f.clock.Now()) {
 		return Refused{After: f.retryAfter(), Reason: ReasonNoServer}
 	}
-	if o := q.relayTo(f.owners.sendersOf(service)); o != nil {
+	if o := q.relayTo(f.delegator.SendersOf(service)); o != nil {
 		return o
 	}
 	return Refused{After: f.retryAfter(), Reason: ReasonNoSender}
