--- a/internal/linker/connection.go
+++ b/internal/linker/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -86,18 +87,28 @@
 	return c, nil
 }
 
-// send queues a frame for the writer. It returns false if the connection is closed, its queue is full or its memory has no
-// room. The frame is then never sent.
-func (c *connection) send(f frame) bool {
-	select {
-	case <-c.closed:
-		return false
-	default:
+// send queues a frame for the writer. After an error, which wraps ErrNotSent, the frame is never sent.
+func (c *connection) send(f frame) error {
+	if isClosed(c.closed) {
+		return eris.Wrap(ErrNotSent, "the connection is closed")
 	}
 	if !f.reserveMemory(c.account, int64(f.size())) {
+		return fmt.Errorf("%w: %w", ErrNotSent, ErrFull)
+	}
+	if !c.queue(f) {
+		return eris.Wrap(ErrNotSent, "the queue is full")
+	}
+	return nil
+}
+
+// isClosed reports whether a channel on which nothing is sent has been closed.
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
 		return false
 	}
-	return c.queue(f)
 }
 
 // sendAnswer queues a reply. It waits until its memory has room or the context ends, because the request has run. It
@@ -122,10 +133,8 @@
 		f.hold.Close()
 		return false
 	}
-	select {
-	case <-c.closed:
+	if isClosed(c.closed) {
 		c.releaseQueue()
-	default:
 	}
 	return true
 }
@@ -179,7 +188,8 @@
 		case frameHeartbeat:
 			r.c.observe(f)
 		case frameProbe:
-			r.c.send(frame{typ: frameEcho, id: f.id})
+			// A peer that gets no echo probes again.
+			_ = r.c.send(frame{typ: frameEcho, id: f.id})
 		default:
 			r.c.receiver.receive(r.c, f)
 		}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -97,8 +97,8 @@
 	if err != nil {
 		return err
 	}
-	if !c.send(frame{typ: frameOneWay, kind: kind, payload: payload}) {
-		return eris.Wrapf(ErrNotSent, "queue to %s is full", l.address)
+	if err := c.send(frame{typ: frameOneWay, kind: kind, payload: payload}); err != nil {
+		return fmt.Errorf("send to %s: %w", l.address, err)
 	}
 	return nil
 }
@@ -147,11 +147,8 @@
 	id, p := l.register(c)
 	defer l.unregister(id, p)
 	f.id = id
-	if !f.reserveMemory(l.account, int64(f.size())) {
-		return reply{}, fmt.Errorf("%w: %w", ErrNotSent, ErrFull)
-	}
-	if !c.queue(f) {
-		return reply{}, eris.Wrapf(ErrNotSent, "connection to %s is closed or its queue is full", l.address)
+	if err := c.send(f); err != nil {
+		return reply{}, fmt.Errorf("send to %s: %w", l.address, err)
 	}
 	select {
 	case r := <-p.done:
@@ -159,7 +156,8 @@
 	case <-c.closed:
 		return l.lastReply(p)
 	case <-ctx.Done():
-		c.send(frame{typ: frameCancel, id: id})
+		// A peer that is not told ends the request at its deadline.
+		_ = c.send(frame{typ: frameCancel, id: id})
 		return reply{}, eris.Wrap(ctx.Err(), "waiting for reply")
 	}
 }
--- a/internal/linker/memory_test.go
+++ b/internal/linker/memory_test.go
@@ -160,3 +160,15 @@
 	assert.NilError(t, a.call(t.Context(), nil))
 	a.expectEmpty(t)
 }
+
+// TestCallOverAClosedConnectionIsNotSent guards against a call that counts as lost, so that it may not be repeated, though
+// its connection had ended before.
+func TestCallOverAClosedConnectionIsNotSent(t *testing.T) {
+	a := startAccounted(t, nil)
+	c, err := a.link.connect(t.Context())
+	assert.NilError(t, err)
+	c.closeSocket()
+	_, err = a.link.exchange(t.Context(), c, frame{typ: frameRequest, kind: encoder.KindRelay, payload: make([]byte, largeBytes)})
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	a.expectEmpty(t)
+}
