--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -226,7 +226,7 @@
 		Rows:          q.rowLimit(),
 		Attempts:      d.attempts(),
 		IsReplacement: d.earlierRuns > 0,
-		Remaining:     q.giveUpAt().Sub(now) - linkRoundTrip,
+		Remaining:     q.deadline.Sub(now),
 		Priority:      q.priority(),
 	}
 	if !q.target.IsZero() {
