Requests that servers have not answered are no longer kept with their bodies

Cause: the accuser watches unanswered requests for 15 s, up to 4,096, and held pointers to fields of the query and of the job, which keep both, and the body, in memory after the request's account is closed.

Evidence: a heap profile of a dock at 115 MiB has 53 MB of callers' bodies; 25 MB are allowed for.

Fix: the flags are allocated on their own.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -149,7 +149,7 @@
 	return accuser.Run{
 		Start:   locator.Start{Server: a.target.ID, Born: a.target.Born},
 		Service: a.job.service, Request: q.prepared.ID, Fingerprints: q.fingerprints.list(), IsRepeat: a.isRepeat,
-		IsAnswered: &a.job.wasAnswered, IsAnsweredElsewhere: &q.wasAnswered,
+		IsAnswered: a.job.wasAnswered, IsAnsweredElsewhere: q.wasAnswered,
 	}
 }
 
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -156,6 +157,7 @@
 		deadline:            f.ending.limit(now.Add(r.Remaining)),
 		finished:            make(chan struct{}),
 		isReplacement:       r.IsReplacement,
+		wasAnswered:         &atomic.Bool{},
 		isLimitedToOneRun:   true,
 		repeatPermit:        make(chan struct{}, 1),
 		detach:              func() bool { return true },
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
+	"weak"
 
 	"gotest.tools/v3/assert"
 
@@ -14,6 +16,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/selector"
+	"banyandock.example/banyandock/internal/sender"
 )
 
 // ampleBudget is a repeat budget that the tests never use up.
@@ -170,6 +173,33 @@
 	t.Fatal("the condition does not hold after 5 seconds")
 }
 
+// TestUnansweredRequestIsNotKept guards against requests whose bodies stay in memory, uncounted, for as long as it is
+// watched whether a server ends that has not answered them.
+func TestUnansweredRequestIsNotKept(t *testing.T) {
+	d := newDeployment(t, ampleBudget)
+	d.addServer("plates", "a", after(time.Minute, answers("late")))
+	d.setRoute(matcher.Route{Destination: toPlates, Idempotent: true})
+	request := &forwarder.Request{
+		Request: sender.Request{
+			ID: "id-1", Method: http.MethodPost, Target: "/x/y", Host: "a.example", Header: http.Header{"Request": {"id-1"}},
+			Body: make([]byte, 1<<20),
+		},
+		Path: "/x/y", Arrived: time.Now(), Timeout: 100 * time.Millisecond,
+	}
+	body := weak.Make(&request.Body[0])
+	expect[forwarder.Failed](t, d.forwarder.Handle(context.Background(), request))
+	request = nil
+	waitFor(t, func() bool { return d.forwarder.CrashStats().Unanswered.Left == 1 })
+	for range 300 {
+		runtime.GC()
+		if body.Value() == nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the body is still in memory")
+}
+
 func TestUnreachableServerIsSkipped(t *testing.T) {
 	d := newDeployment(t, noRepeatBudget)
 	d.register("plates", "gone", netip.MustParseAddrPort("127.0.0.1:1"))
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -45,8 +45,9 @@
 	hasLost             bool
 	hasLostRepeat       bool
 	isAwaitingIsolation bool
-	// wasAnswered is set once a server has answered the request. Any goroutine may access it.
-	wasAnswered atomic.Bool
+	// wasAnswered is set once a server has answered the request. Any goroutine may access it. The accuser keeps it
+	// long after the job has ended, and must not keep the job with it.
+	wasAnswered *atomic.Bool
 	// written counts the attempts of which a server may have got the request, unless it told that it did
 	// not run it. Any goroutine may access it.
 	written atomic.Int32
@@ -82,7 +83,10 @@
 	if maxRuns <= 0 {
 		maxRuns = defaultAttempts
 	}
-	return &job{query: q, service: service, latency: latency, maxRuns: maxRuns, isReplacement: q.isReplacement}
+	return &job{
+		query: q, service: service, latency: latency, maxRuns: maxRuns, isReplacement: q.isReplacement,
+		wasAnswered: &atomic.Bool{},
+	}
 }
 
 // start sends the request to the first server and schedules the hedge. It returns false if there
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -72,9 +72,9 @@
 	isLimitedToOneRun bool
 	repeatPermit      chan struct{}
 	// isolation limits the servers that run a request that may crash them. wasAnswered is set once a
-	// server has answered the request. Any goroutine may access it.
+	// server has answered the request. Any goroutine may access it, and the accuser keeps it after the query's end.
 	isolation   isolation
-	wasAnswered atomic.Bool
+	wasAnswered *atomic.Bool
 	// tokens holds the server of each service for which the query has an unused token of the server's
 	// limit.
 	tokens map[identifier.ServiceName]encoder.ServerID
@@ -120,7 +120,7 @@
 	deadline = f.ending.limit(deadline)
 	q := &query{
 		forwarder: f, selector: f.selector, table: t, configurationNumber: t.Number(), route: route, request: r, prepared: f.sender.Prepare(&r.Request), deadline: deadline,
-		finished: make(chan struct{}), fingerprints: newFingerprints(&r.Request), customer: customer,
+		finished: make(chan struct{}), fingerprints: newFingerprints(&r.Request), customer: customer, wasAnswered: &atomic.Bool{},
 	}
 	q.ctx, q.cancel = context.WithDeadline(reserver.WithHold(f.ctx, reserver.HoldOf(ctx)), deadline)
 	q.detach = context.AfterFunc(ctx, q.cancel)
