--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -179,16 +179,7 @@
 	d := newDeployment(t, ampleBudget)
 	d.addServer("plates", "a", after(time.Minute, answers("late")))
 	d.setRoute(matcher.Route{Destination: toPlates, Idempotent: true})
-	request := &forwarder.Request{
-		Request: sender.Request{
-			ID: "id-1", Method: http.MethodPost, Target: "/x/y", Host: "a.example", Header: http.Header{"Request": {"id-1"}},
-			Body: make([]byte, 1<<20),
-		},
-		Path: "/x/y", Arrived: time.Now(), Timeout: 100 * time.Millisecond,
-	}
-	body := weak.Make(&request.Body[0])
-	expect[forwarder.Failed](t, d.forwarder.Handle(context.Background(), request))
-	request = nil
+	body := d.sendUnanswered()
 	waitFor(t, func() bool { return d.forwarder.CrashStats().Unanswered.Left == 1 })
 	for range 300 {
 		runtime.GC()
@@ -200,6 +191,18 @@
 	t.Fatal("the body is still in memory")
 }
 
+// sendUnanswered sends a request that no server answers in time. It returns a pointer to the body that does not keep it.
+func (d *deployment) sendUnanswered() weak.Pointer[byte] {
+	body := make([]byte, 1<<20)
+	expect[forwarder.Failed](d.t, d.forwarder.Handle(context.Background(), &forwarder.Request{
+		Request: sender.Request{
+			ID: "id-1", Method: http.MethodPost, Target: "/x/y", Host: "a.example", Header: http.Header{"Request": {"id-1"}}, Body: body,
+		},
+		Path: "/x/y", Arrived: time.Now(), Timeout: 100 * time.Millisecond,
+	}))
+	return weak.Make(&body[0])
+}
+
 func TestUnreachableServerIsSkipped(t *testing.T) {
 	d := newDeployment(t, noRepeatBudget)
 	d.register("plates", "gone", netip.MustParseAddrPort("127.0.0.1:1"))
