Lists that a reply leaves out are no longer taken for empty ones

Cause: a keeper leaves out a list whose digest the watch request names. The dock compared the reply's digest with that of the list that it had when the reply arrived. If another keeper's reply had replaced the list in between, it took the list for an empty one, and named its digest from then on, so that it was not sent again.

Evidence: beside 40 processes of the test, 4 of 1,440 runs failed before, for both of the lists that the test waits for. The new test plays the order of replies with two keepers and failed before (10 s without the lists).

Fix: a reply's list counts if the request named another digest. Otherwise the next request asks for it. 1,440 runs beside the same load pass; the packages watcher and broadcaster pass with -race.

--- a/internal/watcher/keeper.go
+++ b/internal/watcher/keeper.go
@@ -48,24 +48,24 @@
 	w := k.watcher
 	defer w.tasks.Done()
 	for k.ctx.Err() == nil {
-		reply, err := k.call()
+		request := k.newRequest()
+		reply, err := k.call(request)
 		if err != nil {
 			k.handleFailure(err)
 			k.waitToRetry()
 			continue
 		}
-		w.handleReply(k, reply)
+		w.handleReply(k, request, reply)
 		w.fetch(k, reply.Configuration)
 	}
 }
 
-// call performs one watch.
-func (k *keeper) call() (encoder.WatchReply, error) {
+// newRequest returns a watch request with what the dock knows now.
+func (k *keeper) newRequest() encoder.WatchRequest {
 	w := k.watcher
-	ctx, cancel := context.WithTimeout(k.ctx, watchTimeout)
-	defer cancel()
 	w.mutex.Lock()
-	request := encoder.WatchRequest{
+	defer w.mutex.Unlock()
+	return encoder.WatchRequest{
 		Keeper:         k.incarnation,
 		Seen:           k.lastChange,
 		Configuration:  w.configuration,
@@ -85,6 +85,14 @@
 
 		Wait: watchWait,
 	}
+}
+
+// call performs one watch.
+func (k *keeper) call(request encoder.WatchRequest) (encoder.WatchReply, error) {
+	w := k.watcher
+	ctx, cancel := context.WithTimeout(k.ctx, watchTimeout)
+	defer cancel()
+	w.mutex.Lock()
 	takesShort := k.takesShort
 	w.mutex.Unlock()
 	if takesShort {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -317,8 +317,8 @@
 	return k
 }
 
-// handleReply merges a keeper's reply with those of the other keepers.
-func (w *Watcher) handleReply(k *keeper, reply encoder.WatchReply) {
+// handleReply merges a keeper's reply to a request with those of the other keepers.
+func (w *Watcher) handleReply(k *keeper, request encoder.WatchRequest, reply encoder.WatchReply) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.clock.Now()
@@ -337,14 +337,24 @@
 		w.updateKeepers(reply)
 	}
 	w.mergeEvacuations(k, reply)
+	w.mergeLists(k, request, reply)
+	if reply.IsWhole || len(reply.Servers) > 0 {
+		w.schedulePublish()
+	}
+}
+
+// mergeLists takes over the lists in a reply. A reply leaves out the lists that the dock had when it sent
+// the request. Another keeper's reply may have replaced them since; the next request then asks for them. The
+// caller holds the lock.
+func (w *Watcher) mergeLists(k *keeper, request encoder.WatchRequest, reply encoder.WatchReply) {
 	if reply.IsLeader {
 		w.leader = k.address
 	}
-	if reply.IsLeader && reply.VerdictsDigest != w.slowServersDigest {
+	if reply.IsLeader && isNewList(reply.VerdictsDigest, request.VerdictsDigest, w.slowServersDigest) {
 		w.slowServersDigest = reply.VerdictsDigest
 		w.sink.SetSlowServers(reply.Verdicts)
 	}
-	if reply.LimitsDigest != 0 && reply.LimitsDigest != w.limitsDigest {
+	if reply.LimitsDigest != 0 && isNewList(reply.LimitsDigest, request.LimitsDigest, w.limitsDigest) {
 		w.limitsDigest = reply.LimitsDigest
 		w.sink.MergeLimits(reply.Limits)
 	}
@@ -354,13 +364,16 @@
 	}
 	// Without any list, that of a keeper that does not lead is used until the leader is found.
 	isFirstList := w.domainDocksDigest == 0 && len(reply.Fellows) > 0
-	if (reply.IsLeader || isFirstList) && reply.FellowsDigest != w.domainDocksDigest {
+	if (reply.IsLeader || isFirstList) && isNewList(reply.FellowsDigest, request.FellowsDigest, w.domainDocksDigest) {
 		w.domainDocksDigest = reply.FellowsDigest
 		w.sink.SetDomainDocks(reply.Fellows)
 	}
-	if reply.IsWhole || len(reply.Servers) > 0 {
-		w.schedulePublish()
-	}
+}
+
+// isNewList reports whether a reply contains the list with the digest, which is the case if the dock had
+// another when it sent the request, and whether it differs from the one that the dock has now.
+func isNewList(digest, requested, current uint64) bool {
+	return digest != requested && digest != current
 }
 
 // updateKeepers watches the members that a reply lists. If the reply comes from a leader, it ends
