A request that was not sent is told so when its dock is cut off

Callers got a failure with the reason lost, which promises nothing, for requests that only waited for connections when the dock found that it had lost its links to all servers; where a route permits no repeats, no other dock got them either.

Cause: giveUpServers counted the attempts that had begun as runs.

Fix: the query first ends what is not sent, and if no server can have got the request it is refused or handed over as a first one. What a query sends has a context of its own, so that the hand-over outlives it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,7 +90,7 @@
 		// Another dock may have delegated the request before the ownership changed.
 		Connections: max(1, f.selector.Connections(a.job.service)),
 	}
-	if a.needsToken && !f.tokens.acquireOne(q.ctx, a.target.ID) {
+	if a.needsToken && !f.tokens.acquireOne(q.sending, a.target.ID) {
 		f.reporter.countAttempt(a.job.service, AttemptDenied)
 		a.deliver(attemptResult{attempt: a, outcome: AttemptDenied})
 		return
@@ -116,7 +116,7 @@
 			f.crossings.countRequest(a.target, q.prepared)
 		}
 	}
-	reply, err := f.sender.Send(q.ctx, destination, q.prepared, q.deadline)
+	reply, err := f.sender.Send(q.sending, destination, q.prepared, q.deadline)
 	f.crossings.countReply(a.target, &reply)
 	now := f.clock.Now()
 	r := attemptResult{attempt: a, elapsed: now.Sub(start), err: err}
@@ -206,7 +206,7 @@
 		return AttemptAnswered
 	case err == nil:
 		return AttemptFailed
-	case a.job.query.ctx.Err() != nil:
+	case a.job.query.sending.Err() != nil:
 		return AttemptCancelled
 	case errors.Is(err, sender.ErrNotSent):
 		return AttemptNotSent
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -167,6 +167,7 @@
 	}
 	hold := f.account.Open(netip.AddrPort{}, func() {})
 	q.ctx, q.cancel = context.WithDeadline(reserver.WithHold(f.ctx, hold), q.deadline)
+	q.sending, q.endSending = context.WithCancel(q.ctx)
 	b := &batch{
 		query:      q,
 		hold:       hold,
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -266,7 +266,7 @@
 		case <-q.finished:
 			return
 		}
-		reply, err = f.peers.More(q.ctx, d.dock.Address, encoder.MoreRequest{Query: d.id})
+		reply, err = f.peers.More(q.sending, d.dock.Address, encoder.MoreRequest{Query: d.id})
 	}
 }
 
@@ -276,7 +276,7 @@
 	if !q.usePermit() {
 		return encoder.GatherReply{}, errPermitEnded
 	}
-	return q.forwarder.peers.Gather(q.ctx, d.dock.Address, d.gatherRequest(q.forwarder.clock.Now()))
+	return q.forwarder.peers.Gather(q.sending, d.dock.Address, d.gatherRequest(q.forwarder.clock.Now()))
 }
 
 // mayHaveRun reports whether a server may have run the request for the delegation.
@@ -375,7 +375,7 @@
 // handleOwnerError handles a failed call to an owner. If the request may still run at the group's
 // servers, this dock sends it to them directly.
 func (q *query) handleOwnerError(now time.Time, d *delegation, err error) Outcome {
-	if q.ctx.Err() != nil {
+	if q.sending.Err() != nil {
 		return nil
 	}
 	if errors.Is(err, errPermitEnded) {
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -307,3 +307,43 @@
 	d.links[0].set(linkSilent)
 	expect[forwarder.Failed](t, <-outcomes)
 }
+
+// TestRequestThatWaitsForConnectionsIsUnsent cuts a dock off while a request waits for connections, and guards
+// against a caller that is told that its request may have run. Another dock runs it if there is one, also if
+// the route permits no repeats.
+func TestRequestThatWaitsForConnectionsIsUnsent(t *testing.T) {
+	for _, hasOthers := range []bool{true, false} {
+		d := newDetachment(t, 4)
+		d.configureOnce(4)
+		if !hasOthers {
+			d.docks[0].SetDomainDocks(nil)
+		}
+		expect[forwarder.Gathered](t, d.handle(0, "/once/", "warm"))
+		d.links[0].set(linkSilent)
+		go d.handle(0, "/once/", "sent")
+		time.Sleep(20 * time.Millisecond)
+		began := time.Now()
+		o := d.handle(0, "/once/", "unsent")
+		if hasOthers {
+			assert.Equal(t, expect[forwarder.Gathered](t, o).Missing, 0)
+			continue
+		}
+		assert.Equal(t, expect[forwarder.Refused](t, o).Reason, forwarder.ReasonNoServer)
+		assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+	}
+}
+
+// configureOnce puts a configuration in force that permits no repeats and one connection to each server.
+func (d *detachment) configureOnce(shards int) {
+	route := scatterRoute(shards, 3, 0.9, 100*time.Millisecond)
+	route.Name, route.Host, route.Prefix, route.Timeout, route.Attempts = "once", "a.example", "/once/", time.Second, 1
+	c := matcher.Configuration{Number: 2, Routes: []matcher.Route{route}}
+	for _, s := range services(shards) {
+		c.Services = append(c.Services, matcher.Service{Name: s, Connections: 1})
+	}
+	table, err := matcher.Compile(c)
+	assert.NilError(d.t, err)
+	for _, f := range d.docks {
+		f.Configure(table)
+	}
+}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -93,6 +93,10 @@
 	// for requests whose answers are no longer needed.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// sending is the context of what this query sends to servers and delegates. It ends with ctx, or before,
+	// when the query is handed over or refused instead.
+	sending    context.Context
+	endSending context.CancelFunc
 	// detach separates ctx from the caller's context, so that requests can continue after the
 	// answer has been returned. It returns false if the caller's context has ended before.
 	detach func() bool
@@ -123,6 +127,7 @@
 		finished: make(chan struct{}), fingerprints: newFingerprints(&r.Request), customer: customer, wasAnswered: &atomic.Bool{},
 	}
 	q.ctx, q.cancel = context.WithDeadline(reserver.WithHold(f.ctx, reserver.HoldOf(ctx)), deadline)
+	q.sending, q.endSending = context.WithCancel(q.ctx)
 	q.detach = context.AfterFunc(ctx, q.cancel)
 	if route.LatencyTarget > 0 {
 		remaining := route.LatencyTarget - answerMargin - callerElapsed(route, r) - f.overshoot.margin()
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -322,10 +322,16 @@
 func (handedOver) isOutcome() {}
 
 // giveUpServers ends a query that waits for servers which this dock can no longer reach, so that the
-// caller need not wait for nothing. It returns nil if the query must go on: the request may not be
-// repeated, or other docks have parts of it.
+// caller need not wait for nothing. A request that no server can have got is refused, and may be handed over
+// as one that was never sent. It returns nil if the query must go on: the request may not be repeated, or
+// other docks have parts of it.
 func (q *query) giveUpServers(now time.Time) Outcome {
-	if !q.route.Idempotent || len(q.delegations) > 0 {
+	switch {
+	case len(q.delegations) > 0:
+		return nil
+	case q.endUnsent():
+		return q.refuseUnsent()
+	case !q.route.Idempotent:
 		return nil
 	}
 	left := q.route.Attempts
@@ -342,6 +348,14 @@
 	return Failed{Reason: ReasonLost}
 }
 
+// refuseUnsent refuses a request that no server can have got from this dock, which is cut off.
+func (q *query) refuseUnsent() Outcome {
+	if q.isolation.isInTrial() && !q.canRelay() {
+		return Refused{After: isolatedRetryAfter, Reason: ReasonSuspected}
+	}
+	return Refused{After: q.forwarder.retryAfter(), Reason: ReasonNoServer}
+}
+
 // relayUnanswered hands a request over that servers may have run. A refusal of the other dock is only true of that
 // dock, so that the caller gets a failure, which promises nothing.
 func (q *query) relayUnanswered(h handedOver) Outcome {
--- a/internal/forwarder/unsent.go
+++ b/internal/forwarder/unsent.go
@@ -9,7 +9,7 @@
 	if q.mayHaveRun() {
 		return false
 	}
-	q.cancel()
+	q.endSending()
 	for _, j := range q.jobs {
 		for j.inFlight > 0 {
 			r := <-q.results
