--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -410,11 +410,13 @@
 // TestSuspectedRequestWaitsForServersThatAreDown guards against a request that is held until its deadline
 // because no server may run it.
 func TestSuspectedRequestWaitsForServersThatAreDown(t *testing.T) {
+	// Afterwards, its servers could take the ports of those that are closed.
+	suspected := fingerprintOf(t)
 	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
 	for _, s := range d.servers {
 		s.server.Close()
 	}
-	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: services(crashingShards)[0]}})
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: suspected, Service: services(crashingShards)[0]}})
 	began := time.Now()
 	assert.Equal(t, expect[forwarder.Refused](t, d.get()).Reason, forwarder.ReasonSuspected)
 	assert.Assert(t, time.Since(began) < 100*time.Millisecond)
@@ -424,12 +426,14 @@
 // TestInnocentRequestIsRefusedWhileOneShardIsDown guards against a request that is refused because the shard
 // whose servers it is suspected to have crashed has none.
 func TestInnocentRequestIsRefusedWhileOneShardIsDown(t *testing.T) {
+	// Afterwards, its servers could take the ports of those that are closed.
+	suspected := fingerprintOf(t)
 	d := newScatteredDeployment(t, answers(record(1)), answers(record(2)))
 	first := services(crashingShards)[0]
 	for _, id := range []string{"a", "b"} {
 		d.servers[encoder.ServerID(string(first)+id)].server.Close()
 	}
-	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: fingerprintOf(t), Service: first}})
+	d.forwarder.SetQuarantines([]encoder.Quarantine{{Fingerprint: suspected, Service: first}})
 	assert.Equal(t, expect[forwarder.Gathered](t, d.get()).Missing, 1)
 }
 
