Owners' last parts arrive before the root gives its query up

Callers of routes without a latency target got a failure for want of coverage at their timeout, or when docks stop, though enough shards had answered.

Cause: an owner was told the caller's deadline and replies then, while the root gives up 20 ms before. Parts that come after an owner's first reply are no reason for another one.

Fix: owners are told the time until the root gives up, and reply a tenth of it before, 4 to 20 ms.

--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -16,9 +16,14 @@
 	"banyandock.example/banyandock/internal/sender"
 )
 
-// abandonTimeout is how long an owner keeps a query after a reply if the delegating dock does not
-// request more parts.
-const abandonTimeout = time.Second
+const (
+	// abandonTimeout is how long an owner keeps a query after a reply if the delegating dock does not
+	// request more parts.
+	abandonTimeout = time.Second
+	// deliveryDivisor is the part of a query's time that an owner leaves for its last reply, at least
+	// linkRoundTrip and at most timeoutMargin.
+	deliveryDivisor = 10
+)
 
 var (
 	// errStopping is returned when this dock no longer accepts requests of other docks.
@@ -45,6 +50,8 @@
 	// progressAt is when a reply is due even without new parts, so that the delegating dock can
 	// see that this one is working. It is zero without a latency target.
 	progressAt time.Time
+	// giveUpAt is when the last reply is sent, so that it arrives before the delegating dock gives its query up.
+	giveUpAt time.Time
 	// changed wakes a waiting handler.
 	changed chan struct{}
 	// delivered is closed when a handler takes the last parts.
@@ -174,6 +181,7 @@
 		index:      map[identifier.ServiceName]int{},
 		topRecords: topRecords{limit: r.Rows},
 		changed:    make(chan struct{}, 1),
+		giveUpAt:   q.deadline.Add(-min(timeoutMargin, max(linkRoundTrip, r.Remaining/deliveryDivisor))),
 
 		delivered: make(chan struct{}),
 	}
@@ -250,18 +258,18 @@
 }
 
 // checkTime makes a reply due when a job waits for the permission to run once more, at progressAt
-// and at the latency target. It fails the query at its deadline or if it is abandoned.
+// and at the latency target. It fails the query at giveUpAt or if it is abandoned.
 func (b *batch) checkTime(now time.Time) (Outcome, time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	q := b.query
-	if !now.Before(q.deadline) || b.isAbandoned(now) {
+	if !now.Before(b.giveUpAt) || b.isAbandoned(now) {
 		return b.end(), now
 	}
 	if q.hasJobAwaitingPermit() {
 		b.markReplyDue()
 	}
-	next := q.deadline
+	next := b.giveUpAt
 	for _, at := range []time.Time{b.progressAt, q.target, b.abandonAt(now)} {
 		switch {
 		case at.IsZero():
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -226,7 +226,7 @@
 		Rows:          q.rowLimit(),
 		Attempts:      d.attempts(),
 		IsReplacement: d.earlierRuns > 0,
-		Remaining:     q.deadline.Sub(now),
+		Remaining:     q.giveUpAt().Sub(now),
 		Priority:      q.priority(),
 	}
 	if !q.target.IsZero() {
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -80,6 +80,26 @@
 	assert.Equal(t, g.Missing, ownedShards/10)
 }
 
+// TestDelegatedPartsAreDeliveredAtTheDeadline guards against owners that pass on the parts which came since
+// their last reply when the root has given the request up.
+func TestDelegatedPartsAreDeliveredAtTheDeadline(t *testing.T) {
+	handlers := map[int]handler{}
+	for i := range ownedShards {
+		switch i % 10 {
+		case 0:
+			handlers[i] = after(time.Minute, answers(record(i)))
+		case 1:
+			// Its owner asks at once for the permission to repeat it.
+			handlers[i] = fails
+		default:
+			handlers[i] = after(400*time.Millisecond, answers(record(i)))
+		}
+	}
+	c := newCluster(t, handlers, scatterRoute(ownedShards, 3, 0.8, 0))
+	g := expect[forwarder.Gathered](t, c.send(context.Background(), "GET", "", time.Second))
+	assert.Equal(t, g.Missing, 2*ownedShards/10)
+}
+
 // silentDocks are other docks that take requests and do not answer.
 type silentDocks struct {
 	forwarder.Peers
