A request that waits for a connection is not sent after its query has ended

Servers got requests that nobody waited for: an attempt without a connection waited on for up to a second after the answer, with the request's body in memory, and was then sent. In TestUnneededPartIsNotSent a busy server got two of three requests after their callers were answered.

The wait now ends with the query, and the attempt counts as cancelled, which says nothing of the server. A new connection that is not needed is kept for others.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -89,6 +89,7 @@
 		ID:      a.target.ID,
 		// Another dock may have delegated the request before the ownership changed.
 		Connections: max(1, f.selector.Connections(a.job.service)),
+		Unneeded:    q.finished,
 	}
 	if a.needsToken && !f.tokens.acquireOne(q.sending, a.target.ID) {
 		f.reporter.countAttempt(a.job.service, AttemptDenied)
@@ -206,7 +207,7 @@
 		return AttemptAnswered
 	case err == nil:
 		return AttemptFailed
-	case a.job.query.sending.Err() != nil:
+	case a.job.query.sending.Err() != nil || errors.Is(err, sender.ErrUnneeded):
 		return AttemptCancelled
 	case errors.Is(err, sender.ErrNotSent):
 		return AttemptNotSent
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -347,3 +347,19 @@
 		f.Configure(table)
 	}
 }
+
+// TestUnneededPartIsNotSent guards against requests that servers get after their callers were answered, because
+// they waited for a connection.
+func TestUnneededPartIsNotSent(t *testing.T) {
+	const shards = 20
+	d := newDetachment(t, shards)
+	d.servers["server-0"].setHandler(after(300*time.Millisecond, answers(record(0))))
+	d.configureOnce(shards)
+	before, _ := d.servers["server-0"].count()
+	for range 3 {
+		go d.handle(0, "/once/", "concurrent")
+	}
+	time.Sleep(1200 * time.Millisecond)
+	after, _ := d.servers["server-0"].count()
+	assert.Equal(t, after-before, 1)
+}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -68,7 +68,7 @@
 }
 
 // acquire returns an idle connection or opens one. If the limit is reached, it waits for a
-// connection until the context ends and then returns errBusy. While the server resets new connections, it
+// connection until the context ends and then returns errBusy, or until the request is not needed any more. While the server resets new connections, it
 // waits for one of those that are open, and returns ErrOverCap if none is.
 func (p *pool) acquire(ctx context.Context, to Destination) (*connection, error) {
 	for {
@@ -81,6 +81,8 @@
 		}
 		select {
 		case <-freed:
+		case <-to.Unneeded:
+			return nil, ErrUnneeded
 		case <-ctx.Done():
 			return nil, errBusy
 		}
@@ -129,7 +131,10 @@
 	}
 	p.sender.opened.Inc(1)
 	limiter := &replyLimiter{source: socket}
-	return &connection{socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter, isNew: true}, nil
+	return &connection{
+		socket: socket, reader: bufio.NewReaderSize(limiter, readerBytes), limiter: limiter, isNew: true,
+		usableUntil: p.sender.clock.Now().Add(defaultIdleTimeout - idleMargin),
+	}, nil
 }
 
 // observe evaluates the error of an exchange, or its success. If a reply was read from a new connection,
@@ -217,7 +222,6 @@
 		if err != nil {
 			return opened, err
 		}
-		c.usableUntil = p.sender.clock.Now().Add(defaultIdleTimeout - idleMargin)
 		p.release(c, true)
 		opened++
 	}
@@ -238,7 +242,6 @@
 	if err != nil {
 		return err
 	}
-	c.usableUntil = p.sender.clock.Now().Add(defaultIdleTimeout - idleMargin)
 	p.release(c, true)
 	return nil
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -68,6 +68,8 @@
 	ErrNotSent = eris.New("request not sent")
 	// ErrLost reports that the request may have run, but no valid reply was received.
 	ErrLost = eris.New("reply lost")
+	// ErrUnneeded reports, besides ErrNotSent, that no answer was needed any more.
+	ErrUnneeded = eris.New("no longer needed")
 	// ErrOverCap reports, besides ErrNotSent or ErrLost, that the server reset a new connection, as it
 	// does with those beyond the number that it accepts. It says nothing of the server's health.
 	ErrOverCap = eris.New("the server resets new connections")
@@ -201,10 +203,23 @@
 	// Connections is the maximum number of connections of this process to the server. Values
 	// below 1 count as 1.
 	Connections int
+	// Unneeded, unless it is nil, is closed when no answer is needed any more. A request that is not being
+	// written by then is not sent.
+	Unneeded <-chan struct{}
 	// OnWrite is called, unless it is nil, before the first byte of a request is written.
 	OnWrite func()
 }
 
+// isUnneeded reports whether no answer is needed any more.
+func (d *Destination) isUnneeded() bool {
+	select {
+	case <-d.Unneeded:
+		return true
+	default:
+		return false
+	}
+}
+
 // Sender sends requests and manages the connections to servers. It is safe for concurrent use.
 type Sender struct {
 	// Set at creation.
@@ -286,6 +301,10 @@
 		if err != nil {
 			return Reply{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		if to.isUnneeded() {
+			p.release(c, true)
+			return Reply{}, fmt.Errorf("%w: %w", ErrNotSent, ErrUnneeded)
+		}
 		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline, ctx: ctx}
 		reply, keep, err := x.run(ctx)
 		err = p.observe(c, err)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -314,6 +314,39 @@
 
 // TestConnectionsToServersThatLeftAreClosed retains one of two servers, and then replaces it by
 // a different server at the same address.
+// TestUnneededRequestIsNotSent guards against requests that go on waiting for a connection, and are sent, after
+// their callers were answered.
+func TestUnneededRequestIsNotSent(t *testing.T) {
+	hasArrived := make(chan struct{})
+	f := newFakeServer(t, func(c net.Conn, n int, r *http.Request) {
+		if n == 1 {
+			close(hasArrived)
+			time.Sleep(200 * time.Millisecond)
+		}
+		reply(c, r.Header.Get("Request"), "x")
+	})
+	s := newSender(t)
+	to := f.destination()
+	to.Connections = 1
+	go func() { _, _ = send(s, to, "1", time.Second) }()
+	<-hasArrived
+	unneeded := make(chan struct{})
+	to.Unneeded = unneeded
+	time.AfterFunc(20*time.Millisecond, func() { close(unneeded) })
+	began := time.Now()
+	_, err := send(s, to, "2", time.Second)
+	assert.ErrorIs(t, err, sender.ErrUnneeded)
+	assert.ErrorIs(t, err, sender.ErrNotSent)
+	assert.Assert(t, time.Since(began) < 150*time.Millisecond, "%s", time.Since(began))
+	_, err = send(s, to, "3", time.Second)
+	assert.ErrorIs(t, err, sender.ErrUnneeded)
+	to.Unneeded = nil
+	_, err = send(s, to, "4", time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, f.requests.Load(), int32(2))
+	assert.Equal(t, f.connections.Load(), int32(1))
+}
+
 func TestConnectionsToServersThatLeftAreClosed(t *testing.T) {
 	answer := func(c net.Conn, _ int, r *http.Request) { reply(c, r.Header.Get("Request"), "answer") }
 	stays, leaves := newFakeServer(t, answer), newFakeServer(t, answer)
