A body counts in its account until the last attempt has ended

Cause, by profiles at 118 MiB in a trial: thousands of workers whose attempts have ended wait for the selector's lock. They refer to their queries and so to the bodies, whose bytes were released when the callers got their answers.

Fix: the query's end moves the body's bytes to a Hold that the last attempt closes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -45,6 +45,7 @@
 
 // dispatch hands an attempt to an idle worker, or to a new one if none is idle.
 func (f *Forwarder) dispatch(a *attempt) {
+	a.job.query.body.beginUse()
 	select {
 	case f.work <- a:
 	default:
@@ -84,6 +85,7 @@
 func (a *attempt) run() {
 	q := a.job.query
 	f := q.forwarder
+	defer q.body.endUse()
 	destination := sender.Destination{
 		Address: a.target.Address,
 		ID:      a.target.ID,
--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -88,6 +88,7 @@
 	}
 	// The request is held until the batch ends, also if the delegating dock no longer waits for a reply.
 	b.message = reserver.HoldOf(ctx).Move()
+	b.query.body.source = b.message
 	go b.run(key)
 	return b.awaitReply(ctx), nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,6 +69,8 @@
 	customer identifier.CustomerName
 	// hasPermit is set if the dock that handed the request over holds a permit for it.
 	hasPermit bool
+	// message is the Hold of the message with which another dock has handed the request over.
+	message *reserver.Hold
 }
 
 // Settings are the settings of a Forwarder.
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -93,6 +93,8 @@
 	// for requests whose answers are no longer needed.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// body accounts for the request's body.
+	body bodyHold
 	// sending is the context of what this query sends to servers and delegates. It ends with ctx, or before,
 	// when the query is handed over or refused instead.
 	sending    context.Context
@@ -129,6 +131,10 @@
 	q.ctx, q.cancel = context.WithDeadline(reserver.WithHold(f.ctx, reserver.HoldOf(ctx)), deadline)
 	q.sending, q.endSending = context.WithCancel(q.ctx)
 	q.detach = context.AfterFunc(ctx, q.cancel)
+	q.body.source = reserver.HoldOf(ctx)
+	if r.message != nil {
+		q.body.source = r.message
+	}
 	if route.LatencyTarget > 0 {
 		remaining := route.LatencyTarget - answerMargin - callerElapsed(route, r) - f.overshoot.margin()
 		q.target = r.Arrived.Add(max(route.LatencyTarget/2, remaining))
@@ -153,6 +159,7 @@
 // they have already been cancelled.
 func (q *query) finish() {
 	close(q.finished)
+	q.body.outlive(len(q.prepared.Body))
 	if !q.detach() {
 		return
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -282,11 +282,12 @@
 	// The link accounts for the memory of the request, and this Hold for that of the replies.
 	hold := f.account.Open(netip.AddrPort{}, func() {})
 	defer hold.Close()
+	message := reserver.HoldOf(ctx)
 	ctx = reserver.WithHold(ctx, hold)
 	request := &Request{
 		Request: sender.Request{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
 		Path:    r.Path, Arrived: f.clock.Now(), Timeout: r.Remaining, isRelayed: true, maxRuns: r.Attempts,
-		customer: identifier.CustomerName(r.Customer), hasPermit: r.HasPermit,
+		customer: identifier.CustomerName(r.Customer), hasPermit: r.HasPermit, message: message,
 	}
 	return relayReply(f.handle(ctx, table, request)), nil
 }
--- a/internal/reserver/fork_test.go
+++ b/internal/reserver/fork_test.go
@@ -111,3 +111,18 @@
 		f = h.Fork()
 	}
 }
+
+// TestSplitBytesOutliveTheirHold guards against bytes that are released while something still holds them.
+func TestSplitBytesOutliveTheirHold(t *testing.T) {
+	a := reserver.New(100, timekeeper.System{})
+	h := a.Open(netip.MustParseAddrPort("127.0.0.1:1"), func() {})
+	assert.NilError(t, h.Reserve(t.Context(), 20, reserver.Request))
+	split := h.Split(15)
+	h.Close()
+	assert.Equal(t, a.Used(), int64(15))
+	split.Close()
+	assert.Equal(t, a.Used(), int64(0))
+	late := h.Split(15)
+	assert.Equal(t, a.Used(), int64(0))
+	late.Close()
+}
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -230,6 +230,22 @@
 	return moved
 }
 
+// Split moves bytes of the Hold, which has at least as many unless it is closed, to a new one of the same account, in
+// which they do not count against the limits of a client.
+func (h *Hold) Split(n int64) *Hold {
+	if h == nil {
+		return nil
+	}
+	a := h.account
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	split := &Hold{account: a, evict: func() {}}
+	n = min(n, h.bytes)
+	h.add(-n, Request)
+	split.add(n, Request)
+	return split
+}
+
 // tryReserve adds bytes to the Hold. If they do not fit, it ends stalled transfers and returns a channel that is
 // closed when bytes are released. One Hold at a time may exceed the account: that of a request that is alone,
 // because the limits of bodies allow it, or of an answer, because two answers that are half gathered could
