--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -105,12 +105,13 @@
 		s.handleCancellation(a, now)
 		return
 	}
-	s.recordServerFailure(a, f, now)
 	t := a.task
+	// A crash may quarantine the request, which closes the task if it waits for a slot.
+	t.mayHaveRun = t.mayHaveRun || f.Started
+	s.recordServerFailure(a, f, now)
 	if t.isClosed {
 		return
 	}
-	t.mayHaveRun = t.mayHaveRun || f.Started
 	if len(t.running) > 0 || t.waitingEntry != nil {
 		// Another attempt of the same task runs or waits.
 		return
--- a/internal/owner/policy_test.go
+++ b/internal/owner/policy_test.go
@@ -330,6 +330,35 @@
 	})
 }
 
+// TestCrashOfAHedgedRequestIsToldAsStarted guards against a request that crashes a server while its hedge waits
+// for a slot, and is told as never started because that crash quarantines it.
+func TestCrashOfAHedgedRequestIsToldAsStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashAfter := map[string]time.Duration{"first": 100 * time.Millisecond, "second": 200 * time.Millisecond}
+		c := &scriptedBackend{answer: func(ctx context.Context, _ encoder.Server, s Subrequest) error {
+			delay, crashes := crashAfter[string(s.Body)]
+			if !crashes {
+				return waitOrCancel(ctx, 500*time.Millisecond)
+			}
+			time.Sleep(delay)
+			return &Failure{Cause: CauseConnectionLost, Started: true}
+		}}
+		o := newSettledOwner(t, c, makeView(1, 3, 1))
+		var wait sync.WaitGroup
+		for i, body := range []string{"harmless", "first", "second"} {
+			batch := makeBatch(manifestreader.Urgent, 1)
+			batch.Fingerprint = identifier.Fingerprint(min(i, 1))
+			batch.Body = []byte(body)
+			wait.Go(func() {
+				if reply := o.Handle(t.Context(), batch); body != "harmless" {
+					expectMissing(t, reply, encoder.MissingCrash, true)
+				}
+			})
+		}
+		wait.Wait()
+	})
+}
+
 // TestRoutineOverloadBarelyDelaysUrgent compares the urgent latencies of the simulation without
 // routine work and with routine work of 1.25 times the capacity. It compares the means of the
 // latencies around the 99th percentile, because a single latency varies by some percent.
