--- a/internal/router/canary.go
+++ b/internal/router/canary.go
@@ -99,18 +99,20 @@
 // runCanary runs a query without a recent success on one shard before the others. It returns true
 // if the query may be sent to all shards, and an outcome if the fingerprint is quarantined. It
 // retries a canary that was lost without a crash, at another dock or on another shard, because a
-// query must not be sent to all shards before one of them has answered it.
+// query must not be sent to all shards before one of them has answered it. A canary that no owner took
+// is no attempt: it waits until the views agree on the owner.
 func (q *queryRun) runCanary(ctx context.Context, g *scatterGather) (bool, Outcome) {
 	if !q.needsCanary() {
 		return true, nil
 	}
-	for range maxCanaryAttempts {
+	for attempts := 0; attempts < maxCanaryAttempts; {
 		shard, hasShard := g.canaryShard()
 		host, hasHost := g.canaryHost()
 		if !hasShard || !hasHost || ctx.Err() != nil {
 			return false, nil
 		}
 		p := &g.progress[shard]
+		uncounted := p.uncountedSends()
 		reply, result := q.sendCanary(ctx, g, host, shard)
 		if result.err == nil && reply.Quarantined {
 			p.inFlight--
@@ -126,10 +128,26 @@
 		if p.missing.Reason == encoder.MissingCrash || p.missing.Reason == encoder.MissingQuarantine {
 			return false, nil
 		}
+		if p.uncountedSends() == uncounted {
+			attempts++
+			continue
+		}
+		g.awaitOwner(ctx, p)
 	}
 	return false, nil
 }
 
+// awaitOwner waits before the next send of a shard that no owner took, and takes the newest view.
+func (g *scatterGather) awaitOwner(ctx context.Context, p *shardProgress) {
+	timer := g.run.router.clock.NewTimer(p.backoff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.snapshot = g.run.router.control.Snapshot()
+}
+
 // sendCanary sends the canary to a dock and waits for its reply. It stops waiting if the dock does
 // not echo a probe.
 func (q *queryRun) sendCanary(ctx context.Context, g *scatterGather, host encoder.Host, shard identifier.ShardNumber) (encoder.CanaryReply, batchResult) {
@@ -252,6 +270,9 @@
 			g.run.router.detector.markSuspect(r.call.host)
 		}
 		g.recordMissing(encoder.MissingShard{Shard: shard, Reason: encoder.MissingOwner, Started: !r.isNotSent()})
+		if r.isNotSent() {
+			g.recordFailedSend(shard)
+		}
 		g.finishCanary(p, shard)
 		return
 	}
@@ -265,6 +286,9 @@
 	g.addCovered(r.reply)
 	for _, m := range r.reply.Missing {
 		g.recordMissing(m)
+		if m.Reason == encoder.MissingOwner && !m.Started {
+			g.recordRefusal(m.Shard)
+		}
 		g.finishCanary(p, m.Shard)
 	}
 }
--- a/internal/router/refusal_test.go
+++ b/internal/router/refusal_test.go
@@ -66,3 +66,23 @@
 		assert.Assert(t, isComplete, "%T %+v", o, o)
 	})
 }
+
+// TestCanaryIsRetriedWhileOwnershipMoves guards against a query that is given up because its canary was refused
+// three times within milliseconds, while docks with different views each report the other as owner.
+func TestCanaryIsRetriedWhileOwnershipMoves(t *testing.T) {
+	for _, fault := range []string{"moved", "not_sent"} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			b := newHarness(withCanary(makeControl(6, 20, 7)), func(encoder.Host, encoder.ShardBatch) behaviour {
+				if time.Since(start) < 60*time.Millisecond {
+					return behaviour{delay: time.Millisecond, fault: fault}
+				}
+				return behaviour{delay: time.Millisecond}
+			}, func(name, detail string) { t.Errorf("%s: %s", name, detail) })
+			o := b.router.Route(t.Context(), query("lookup"))
+			assert.NilError(t, b.router.Close())
+			_, isComplete := o.(Complete)
+			assert.Assert(t, isComplete, "%s: %T %+v", fault, o, o)
+		})
+	}
+}
--- a/internal/router/scatter_gather.go
+++ b/internal/router/scatter_gather.go
@@ -311,6 +311,11 @@
 // uncountedSends returns the number of refusals and failed sends, which do not count as sends.
 func (p *shardProgress) uncountedSends() int { return p.refusals + p.failedSends }
 
+// backoff returns the delay before the next send of a shard that was refused or could not be sent.
+func (p *shardProgress) backoff() time.Duration {
+	return min(maxRefusalBackoff, time.Duration(p.uncountedSends()-1)*refusalBackoff)
+}
+
 // handleLoss records that a batch was not delivered or its reply was lost, and resends its shards
 // where that is allowed.
 func (g *scatterGather) handleLoss(ctx context.Context, r batchResult) {
@@ -341,8 +346,7 @@
 		case !g.canResend(p):
 			g.failShard(n, p.missing)
 		case p.uncountedSends() > 1:
-			backoff := min(maxRefusalBackoff, time.Duration(p.uncountedSends()-1)*refusalBackoff)
-			p.resendAt = g.run.router.clock.Now().Add(backoff)
+			p.resendAt = g.run.router.clock.Now().Add(p.backoff())
 		default:
 			again = append(again, n)
 		}
