--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -67,9 +67,10 @@
 	pausedUntil time.Time
 }
 
-// acquire returns an idle connection or opens one. If the limit is reached, it waits for a
-// connection until the context ends and then returns errBusy, or until the request is not needed any more. While the server resets new connections, it
-// waits for one of those that are open, and returns ErrOverCap if none is.
+// acquire returns an idle connection or opens one. If the limit is reached, it waits for a connection
+// until the context ends and then returns errBusy, or until the request is no longer needed. While the
+// server resets new connections, it waits for one of those that are open, and returns ErrOverCap if none
+// is.
 func (p *pool) acquire(ctx context.Context, to Destination) (*connection, error) {
 	for {
 		c, mayOpen, freed, err := p.reserve(to)
