--- a/internal/encoder/gather.go
+++ b/internal/encoder/gather.go
@@ -40,7 +40,7 @@
 	// IsReplacement is set if the sender had delegated the request to another dock before, which may
 	// have run it.
 	IsReplacement bool `msgpack:"e,omitempty"`
-	// Remaining is the time until the caller's deadline. Target is the time within which the
+	// Remaining is the time until the sender gives the request up. Target is the time within which the
 	// parts are needed to meet the latency target. A Target of zero means that there is none.
 	Remaining time.Duration `msgpack:"d"`
 	Target    time.Duration `msgpack:"t,omitempty"`
