Plain names: the limits of connections in delegator, a stand-in's servers per instance

Names only, in a type of the product and in the settings of our own stand-in, which read like the users' words for other things. The stand-in's setting searchers is servers_per_instance now; scripts and tests follow.

--- a/cmd/standin/internal/settingsreader/serve.go
+++ b/cmd/standin/internal/settingsreader/serve.go
@@ -38,7 +38,7 @@
 	Services  []Service
 }
 
-// Service describes the backend servers of one service. The service has Instances times Searchers
+// Service describes the backend servers of one service. The service has Instances times ServersPerInstance
 // servers, at consecutive addresses starting at FirstAddress.
 type Service struct {
 	Name         identifier.ServiceName
@@ -47,11 +47,11 @@
 	Port         uint16
 	Protocol     encoder.ServerProtocol
 
-	Instances int
-	Searchers int
-	Replicas  int
-	Shards    uint32
-	Version   identifier.IndexVersion
+	Instances          int
+	ServersPerInstance int
+	Replicas           int
+	Shards             uint32
+	Version            identifier.IndexVersion
 
 	Slots          int
 	Connections    int
@@ -88,7 +88,7 @@
 
 // ServerCount returns the number of backend servers of the service.
 func (s *Service) ServerCount() int {
-	return s.Instances * s.Searchers
+	return s.Instances * s.ServersPerInstance
 }
 
 // ReadServe reads the settings of a process of backend servers. It returns ErrInvalid if they
@@ -117,30 +117,30 @@
 
 func parseService(t *tomlreader.Table) Service {
 	s := Service{
-		Name:           serviceName(t, "name"),
-		Domains:        tomlreader.Required(t, "domains", tomlreader.List(maxDomains, tomlreader.Name[identifier.DomainName])),
-		FirstAddress:   loopback(t, "first_address"),
-		Port:           uint16(count(t, "port", defaultPort, 1, 1<<16-1)),
-		Protocol:       tomlreader.Optional(t, "protocol", encoder.ProtocolHTTP2, tomlreader.OneOf(encoder.ServerProtocolValues())),
-		Instances:      count(t, "instances", 1, 1, maxServers),
-		Searchers:      count(t, "searchers", 1, 1, maxServers),
-		Replicas:       count(t, "replicas", 1, 1, maxServers),
-		Shards:         uint32(count(t, "shards", 1, 1, 1<<16)),
-		Version:        identifier.IndexVersion(count(t, "version", 1, 1, 1<<31)),
-		Slots:          count(t, "slots", 1, 1, maxSlots),
-		Connections:    count(t, "connections", 1, 1, maxSlots),
-		ConnectionCost: duration(t, "connection_cost", 0),
-		WaitingLimit:   count(t, "waiting_limit", defaultWaitingLimit, 0, maxCount),
-		ServiceTime:    duration(t, "service_time", 0),
-		Spread:         share(t, "spread"),
-		SlowShare:      share(t, "slow_share"),
-		SlowFactor:     factor(t, "slow_factor"),
-		ColdTime:       duration(t, "cold_time", 0),
-		ColdFactor:     factor(t, "cold_factor"),
-		RestartTime:    duration(t, "restart_time", defaultRestart),
-		OneWayDelay:    duration(t, "one_way_delay", 0),
-		HintLag:        duration(t, "hint_lag", 0),
-		Rows:           count(t, "rows", defaultRows, 0, 1000),
+		Name:               serviceName(t, "name"),
+		Domains:            tomlreader.Required(t, "domains", tomlreader.List(maxDomains, tomlreader.Name[identifier.DomainName])),
+		FirstAddress:       loopback(t, "first_address"),
+		Port:               uint16(count(t, "port", defaultPort, 1, 1<<16-1)),
+		Protocol:           tomlreader.Optional(t, "protocol", encoder.ProtocolHTTP2, tomlreader.OneOf(encoder.ServerProtocolValues())),
+		Instances:          count(t, "instances", 1, 1, maxServers),
+		ServersPerInstance: count(t, "servers_per_instance", 1, 1, maxServers),
+		Replicas:           count(t, "replicas", 1, 1, maxServers),
+		Shards:             uint32(count(t, "shards", 1, 1, 1<<16)),
+		Version:            identifier.IndexVersion(count(t, "version", 1, 1, 1<<31)),
+		Slots:              count(t, "slots", 1, 1, maxSlots),
+		Connections:        count(t, "connections", 1, 1, maxSlots),
+		ConnectionCost:     duration(t, "connection_cost", 0),
+		WaitingLimit:       count(t, "waiting_limit", defaultWaitingLimit, 0, maxCount),
+		ServiceTime:        duration(t, "service_time", 0),
+		Spread:             share(t, "spread"),
+		SlowShare:          share(t, "slow_share"),
+		SlowFactor:         factor(t, "slow_factor"),
+		ColdTime:           duration(t, "cold_time", 0),
+		ColdFactor:         factor(t, "cold_factor"),
+		RestartTime:        duration(t, "restart_time", defaultRestart),
+		OneWayDelay:        duration(t, "one_way_delay", 0),
+		HintLag:            duration(t, "hint_lag", 0),
+		Rows:               count(t, "rows", defaultRows, 0, 1000),
 	}
 	if t.Has("crash_marker") {
 		s.CrashMarker = tomlreader.Required(t, "crash_marker", tomlreader.Text)
@@ -152,7 +152,7 @@
 func checkServers(t *tomlreader.Table, s *Service) {
 	switch {
 	case s.ServerCount() > maxServers:
-		t.Report("instances", "times searchers must be at most %d", maxServers)
+		t.Report("instances", "times servers_per_instance must be at most %d", maxServers)
 	case s.ServerCount()%s.Replicas != 0:
 		t.Report("replicas", "must divide the number of servers, which is %d", s.ServerCount())
 	}
--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -42,8 +42,8 @@
 	return &Delegator{self: self, suspectedUntil: map[netip.AddrPort]time.Time{}}
 }
 
-// Allotments tells which docks may connect to the servers of a service.
-type Allotments interface {
+// ConnectionLimits tells which docks may connect to the servers of a service.
+type ConnectionLimits interface {
 	// NeedsSenders reports whether the servers do not accept a connection from every dock.
 	NeedsSenders(service identifier.ServiceName) bool
 	// CountSenders returns how many docks of each failure domain may be senders.
@@ -52,7 +52,7 @@
 
 // Assign computes the groups of all routes and returns the services that this dock sends to. Without a
 // configuration, nothing is delegated.
-func (de *Delegator) Assign(t *matcher.Table, a Allotments) selector.Ownership {
+func (de *Delegator) Assign(t *matcher.Table, limits ConnectionLimits) selector.Ownership {
 	de.mutex.Lock()
 	defer de.mutex.Unlock()
 	ownership := selector.Ownership{Ranks: map[identifier.ServiceName]int{}}
@@ -63,17 +63,17 @@
 	}
 	for _, r := range t.Routes() {
 		if d, ok := r.Destination.(matcher.Scatter); ok {
-			groups := de.assignGroups(d.Services, a)
+			groups := de.assignGroups(d.Services, limits)
 			de.routed = append(de.routed, groups...)
 			de.addGroups(ownership, groups)
 		}
 	}
-	de.addGroups(ownership, de.assignGroups(unroutedServices(t), a))
+	de.addGroups(ownership, de.assignGroups(unroutedServices(t), limits))
 	for _, s := range t.Services() {
-		if _, isGrouped := de.groupByService[s.Name]; !isGrouped && a.NeedsSenders(s.Name) {
+		if _, isGrouped := de.groupByService[s.Name]; !isGrouped && limits.NeedsSenders(s.Name) {
 			// Without a list of docks yet, no dock may send to the service.
 			ownership.Ranks[s.Name] = allotter.NoRank
-			de.addGroups(ownership, de.limitSenders(assigner.AssignAll([]identifier.ServiceName{s.Name}, de.docks), a))
+			de.addGroups(ownership, de.limitSenders(assigner.AssignAll([]identifier.ServiceName{s.Name}, de.docks), limits))
 		}
 	}
 	return ownership
@@ -81,19 +81,19 @@
 
 // assignGroups divides services among the docks of this failure domain. It returns nil if every dock
 // sends to them itself. The caller holds the lock.
-func (de *Delegator) assignGroups(services []identifier.ServiceName, a Allotments) []assigner.Group {
+func (de *Delegator) assignGroups(services []identifier.ServiceName, limits ConnectionLimits) []assigner.Group {
 	groups := assigner.Assign(services, de.docks)
-	if groups == nil && slices.ContainsFunc(services, a.NeedsSenders) {
+	if groups == nil && slices.ContainsFunc(services, limits.NeedsSenders) {
 		groups = assigner.AssignAll(services, de.docks)
 	}
-	return de.limitSenders(groups, a)
+	return de.limitSenders(groups, limits)
 }
 
 // limitSenders removes the senders that may not connect to all servers of their group.
-func (de *Delegator) limitSenders(groups []assigner.Group, a Allotments) []assigner.Group {
+func (de *Delegator) limitSenders(groups []assigner.Group, limits ConnectionLimits) []assigner.Group {
 	for i := range groups {
 		for _, s := range groups[i].Services {
-			groups[i].Senders = groups[i].Senders[:min(len(groups[i].Senders), a.CountSenders(s))]
+			groups[i].Senders = groups[i].Senders[:min(len(groups[i].Senders), limits.CountSenders(s))]
 		}
 	}
 	return groups
@@ -114,8 +114,8 @@
 }
 
 // unroutedServices returns the services to which no route refers, in the order of the configuration.
-// Before a repartition they are the shards of the next index, and the docks that will probably own
-// them connect in advance. After it they are the shards of the former index.
+// Before an index is cut into other shards they are those of the next index, and the docks that will
+// probably own them connect in advance. After it they are those of the former index.
 func unroutedServices(t *matcher.Table) []identifier.ServiceName {
 	routed := map[identifier.ServiceName]bool{}
 	for _, r := range t.Routes() {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -88,7 +88,7 @@
 		domains = ["one", "two", "three"]
 		first_address = "127.5.1.1"
 		instances = $shards
-		searchers = $replicas
+		servers_per_instance = $replicas
 		replicas = $replicas
 		shards = $shards
 		slots = $searcher_slots
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,7 +48,7 @@
 	printf ']'
 }
 
-# print_service NAME FIRST_ADDRESS INSTANCES SEARCHERS REPLICAS SHARDS SLOTS CONNECTIONS COST prints
+# print_service NAME FIRST_ADDRESS INSTANCES SERVERS_PER_INSTANCE REPLICAS SHARDS SLOTS CONNECTIONS COST prints
 # the settings of the backend servers of one service.
 print_service() {
 	cat <<-TOML
@@ -58,7 +58,7 @@
 		domains = $domains
 		first_address = "$2"
 		instances = $3
-		searchers = $4
+		servers_per_instance = $4
 		replicas = $5
 		shards = $6
 		slots = $7
