--- a/review/rig3/caller.go
+++ b/review/rig3/caller.go
@@ -16,8 +16,6 @@
 	header http.Header
 	body   []byte
 	err    error
-	// isUnconnected is set if no connection could be opened.
-	isUnconnected bool
 }
 
 // callerHost is the host of all routes.
@@ -27,21 +25,17 @@
 func ask(address, method, path, id string, deadline time.Duration, body []byte) result {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return result{err: err, isUnconnected: true}
+		return result{err: err}
 	}
 	defer func() { _ = c.Close() }()
-	return askOver(c, bufio.NewReader(c), method, path, id, deadline, nil, body)
+	return askOver(c, bufio.NewReader(c), method, path, id, deadline, body)
 }
 
 // askOver sends a request over a connection and reads the response.
-func askOver(c net.Conn, reader *bufio.Reader, method, path, id string, deadline time.Duration, extra []string, body []byte) result {
+func askOver(c net.Conn, reader *bufio.Reader, method, path, id string, deadline time.Duration, body []byte) result {
 	_ = c.SetDeadline(time.Now().Add(deadline))
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, callerHost, headerRequest, id, headerDeadline, deadline.Milliseconds())
-	for _, line := range extra {
-		b.WriteString(line)
-		b.WriteString("\r\n")
-	}
 	if len(body) > 0 || method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
--- a/review/rig3/crowd.go
+++ b/review/rig3/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,8 +31,14 @@
 	requiredLines = 300
 	// crowdTime bounds how long the crowd sends requests.
 	crowdTime = 40 * time.Second
-	// endsAllowed is the number of times that the process of a machine may end by itself in a day, less one.
-	endsAllowed = 2
+	// endsWanted is the number of ends of each dock after which the crowd stops.
+	endsWanted = 3
+	// lostAllowed is how many requests on kept connections may reach a sound server and end without an answer.
+	lostAllowed = 3
+	// ordinaryCallers is the number of ordinary callers of each dock.
+	ordinaryCallers = 10
+	// touchTime is how long the docks run before the crowd comes, more than stabilityWindowMs.
+	touchTime = 6 * time.Second
 	// restartDelay is the time after which the platform starts a process again.
 	restartDelay = 500 * time.Millisecond
 	// serverWork is how long a server works on a request.
@@ -65,14 +72,15 @@
 // runCrowd sends requests of legal size with many short header lines to two docks. All callers stay within the
 // limits of the configuration. The stand-in for the platform ends a process that uses more memory than its machine has.
 func runCrowd(e *environment) (bool, error) {
-	d, err := newDeployment(e.programs, crowdDocks, e.record)
+	d, err := newDeployment(e, crowdDocks)
 	if d != nil {
 		defer d.close()
 	}
 	if err != nil {
 		return false, err
 	}
-	if err := startSingleServers(d, 3, serverWork); err != nil {
+	c := &crowd{deployment: d, record: e.record, ends: make([]atomic.Int64, crowdDocks), peaks: make([]atomic.Int64, crowdDocks)}
+	if err := c.startServers(); err != nil {
 		return false, err
 	}
 	if err := d.submit(singleConfiguration("idempotent")); err != nil {
@@ -81,40 +89,21 @@
 	if err := d.awaitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
-	lines := ""
+	time.Sleep(touchTime)
 	if e.isTroubled {
-		lines = shortLines(headerLimit - requiredLines)
+		c.lines = shortLines(headerLimit - requiredLines)
 	}
-	c := &crowd{deployment: d, record: e.record, lines: lines, end: time.Now().Add(crowdTime), ends: make([]atomic.Int64, crowdDocks), peaks: make([]atomic.Int64, crowdDocks)}
+	c.end = time.Now().Add(crowdTime)
 	c.run()
-	e.record.say("headers of at most %d bytes in %d lines; crowd: %s", headerLimit, strings.Count(lines, "\n")+3, &c.crowd)
-	e.record.say("ordinary callers: %s", &c.ordinary)
-	isBroken := true
+	e.record.say("headers of at most %d bytes in %d lines; crowd: %s", headerLimit, strings.Count(c.lines, "\n")+3, &c.crowd)
 	for i := range crowdDocks {
 		e.record.say("dock %d: %d MB of memory at the peak, %d MB allowed, ended %d times", i+1, c.peaks[i].Load(), dockMemoryMB, c.ends[i].Load())
-		isBroken = isBroken && c.ends[i].Load() > endsAllowed
 	}
-	if c.crowd.served.Load() == 0 {
-		return false, fmt.Errorf("no request was served")
+	e.record.say("ordinary callers: %s; %d lost on kept connections after a server had them", &c.ordinary, c.lost.Load())
+	if c.ordinary.served.Load() == 0 {
+		return false, errors.New("no ordinary request was served")
 	}
-	return isBroken, nil
-}
-
-// startSingleServers starts sound servers of the service "single", which end with the process.
-func startSingleServers(d *deployment, count int, work time.Duration) error {
-	for i := range count {
-		id := fmt.Sprintf("i-%d", i+1)
-		_, err := newServer(id, "single", domain(i), d.serverIP(i), d.controlAddresses(), d.record,
-			func(c net.Conn, r *http.Request, _ []byte, run int64) bool {
-				time.Sleep(work)
-				return reply(c, http.StatusOK, []string{headerRequest, r.Header.Get(headerRequest), headerStamp, fmt.Sprintf("%s.%d", id, run)}, []byte("answer"))
-			})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return c.lost.Load() > lostAllowed, nil
 }
 
 // crowd is the crowd, the ordinary callers and the platform.
@@ -127,7 +116,30 @@
 	crowd, ordinary outcomes
 	// ends and peaks hold the number of ends and the highest memory in MB of each dock.
 	ends, peaks []atomic.Int64
-	tasks       sync.WaitGroup
+	// ran holds the requests that servers ran, and lost counts those of ordinary callers among them that ended without an
+	// answer, on connections that had carried others before.
+	ran   sync.Map
+	lost  atomic.Int64
+	tasks sync.WaitGroup
+}
+
+// startServers starts sound servers, which end with the process.
+func (c *crowd) startServers() error {
+	d := c.deployment
+	for i := range 3 {
+		id := fmt.Sprintf("i-%d", i+1)
+		_, err := newServer(id, "single", domain(i), d.serverIP(i), d.controlAddresses(), c.record,
+			func(socket net.Conn, r *http.Request, _ []byte, run int64) bool {
+				request := r.Header.Get(headerRequest)
+				c.ran.Store(request, true)
+				time.Sleep(serverWork)
+				return reply(socket, http.StatusOK, []string{headerRequest, request, headerStamp, fmt.Sprintf("%s.%d", id, run)}, []byte("answer"))
+			})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // run sends requests until the end or until the rule is broken.
@@ -139,8 +151,10 @@
 			c.tasks.Add(1)
 			go c.sendSlowly(dock, n)
 		}
-		c.tasks.Add(1)
-		go c.sendOrdinary(dock)
+		for n := range ordinaryCallers {
+			c.tasks.Add(1)
+			go c.sendOrdinary(dock, n)
+		}
 	}
 	c.tasks.Wait()
 }
@@ -151,7 +165,7 @@
 		return true
 	}
 	for i := range c.ends {
-		if c.ends[i].Load() <= endsAllowed {
+		if c.ends[i].Load() < endsWanted {
 			return false
 		}
 	}
@@ -220,17 +234,36 @@
 	return response.StatusCode, err
 }
 
-// sendOrdinary sends ordinary requests, one after the other.
-func (c *crowd) sendOrdinary(dock int) {
+// sendOrdinary sends the requests of one ordinary caller, which keeps its connection.
+func (c *crowd) sendOrdinary(dock, n int) {
 	defer c.tasks.Done()
-	for round := 0; !c.isOver(); round++ {
-		r := ask(c.deployment.callerAddress(dock), http.MethodGet, "/single/x", fmt.Sprintf("ordinary-%d-%d", dock, round), callerTimeout, nil)
-		if r.isUnconnected {
+	for connection := 0; !c.isOver(); connection++ {
+		socket, err := net.DialTimeout("tcp", c.deployment.callerAddress(dock), time.Second)
+		if err != nil {
 			c.ordinary.unconnected.Add(1)
-		} else {
-			c.ordinary.count(r.status, r.err)
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		c.sendKept(socket, fmt.Sprintf("ordinary-%d-%d-%d", dock, n, connection))
+		_ = socket.Close()
+	}
+}
+
+// sendKept sends requests over one connection until it ends.
+func (c *crowd) sendKept(socket net.Conn, name string) {
+	reader := bufio.NewReader(socket)
+	for round := 0; !c.isOver(); round++ {
+		id := fmt.Sprintf("%s-%d", name, round)
+		r := askOver(socket, reader, http.MethodGet, "/single/x", id, callerTimeout, nil)
+		_, hasRun := c.ran.Load(id)
+		c.record.add("%s: %d, error %v, run by a server: %t", id, r.status, r.err, hasRun)
+		c.ordinary.count(r.status, r.err)
+		if r.err != nil && hasRun && round > 0 {
+			c.lost.Add(1)
+		}
+		if r.err != nil || r.header.Get("Connection") == "close" {
+			return
 		}
-		c.record.add("ordinary caller of dock %d gets %d, error %v", dock+1, r.status, r.err)
 		time.Sleep(50 * time.Millisecond)
 	}
 }
--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -64,19 +65,24 @@
 	docks    []*process
 	client   *http.Client
 	record   *record
+
+	// Guarded by mutex.
+	mutex    sync.Mutex
+	isClosed bool
 }
 
 // newDeployment starts the processes. The caller must call close, also after an error.
-func newDeployment(programs string, docks int, r *record) (*deployment, error) {
+func newDeployment(e *environment, docks int) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{
-		programs: programs, folder: folder, record: r,
+		programs: e.programs, folder: folder, record: e.record,
 		prefix: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, 1+os.Getpid()/128%250),
 		client: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	e.deployment.Store(d)
 	for i := range keeperCount {
 		p := &process{name: fmt.Sprintf("keeper-%d", i+1), program: "routekeeper"}
 		d.keepers = append(d.keepers, p)
@@ -184,8 +190,13 @@
 	return d.start(p)
 }
 
-// start starts a process with its present settings file.
+// start starts a process with its present settings file. It does nothing once the deployment is closed.
 func (d *deployment) start(p *process) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.isClosed {
+		return errors.New("the deployment is closed")
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -193,7 +204,6 @@
 	p.command = exec.Command(filepath.Join(d.programs, p.program), "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
@@ -227,15 +237,15 @@
 
 // close ends all processes and removes the folder.
 func (d *deployment) close() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.isClosed = true
 	for _, p := range append(append([]*process{}, d.keepers...), d.docks...) {
-		if p.command != nil && p.command.Process != nil && p.ended != nil {
-			p.signal(syscall.SIGCONT)
+		if p.ended != nil {
 			p.kill()
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(d.folder)
-	}
+	_ = os.RemoveAll(d.folder)
 }
 
 // awaitReady waits until all docks say that they are ready.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -15,7 +18,7 @@
 )
 
 // caseTimeout bounds a case.
-const caseTimeout = 115 * time.Second
+const caseTimeout = 110 * time.Second
 
 // caseFunc runs a case. With isTroubled, it brings about the disruption. It reports whether the rule was broken.
 type caseFunc func(e *environment) (isBroken bool, err error)
@@ -25,6 +28,25 @@
 	programs   string
 	record     *record
 	isTroubled bool
+	// deployment is the one that the case has started, so that it can be ended at any time.
+	deployment atomic.Pointer[deployment]
+}
+
+// endEarly ends the case without a result when it takes too long or at a signal.
+func (e *environment) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case s := <-signals:
+		e.record.say("ended by %s", s)
+	case <-time.After(caseTimeout):
+		e.record.say("the case took longer than %s", caseTimeout)
+	}
+	if d := e.deployment.Load(); d != nil {
+		d.close()
+	}
+	e.record.close()
+	os.Exit(exitNotRun)
 }
 
 // cases holds the cases by name.
@@ -49,11 +71,7 @@
 	defer r.close()
 	e := &environment{programs: "target", record: r, isTroubled: os.Getenv("TROUBLE") != "0"}
 	r.say("case %s, disruption: %t", os.Args[1], e.isTroubled)
-	time.AfterFunc(caseTimeout, func() {
-		r.say("the case took longer than %s", caseTimeout)
-		r.close()
-		os.Exit(exitNotRun)
-	})
+	go e.endEarly()
 	isBroken, err := cases[os.Args[1]](e)
 	switch {
 	case err != nil:
--- a/review/rig3/signature.go
+++ b/review/rig3/signature.go
@@ -20,7 +20,7 @@
 // one of fifty answers: a byte in the name of the header with the signature is wrong. No caller may get a
 // success without the signature.
 func runSignature(e *environment) (bool, error) {
-	d, err := newDeployment(e.programs, 2, e.record)
+	d, err := newDeployment(e, 2)
 	if d != nil {
 		defer d.close()
 	}
