--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -53,6 +53,8 @@
 var cases = map[string]caseFunc{
 	"signature": runSignature,
 	"crowd":     runCrowd,
+	"allotment": runAllotment,
+	"group":     runGroup,
 }
 
 func main() { os.Exit(run()) }
