--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -65,6 +65,8 @@
 	docks    []*process
 	client   *http.Client
 	record   *record
+	// dockMemory is the memory in MB of the machines of the docks.
+	dockMemory int
 
 	// Guarded by mutex.
 	mutex    sync.Mutex
@@ -73,12 +75,17 @@
 
 // newDeployment starts the processes. The caller must call close, also after an error.
 func newDeployment(e *environment, docks int) (*deployment, error) {
+	return newDeploymentOf(e, docks, dockMemoryMB)
+}
+
+// newDeploymentOf does the same with docks on machines with another memory, in MB.
+func newDeploymentOf(e *environment, docks, dockMemory int) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{
-		programs: e.programs, folder: folder, record: e.record,
+		programs: e.programs, folder: folder, record: e.record, dockMemory: dockMemory,
 		prefix: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, 1+os.Getpid()/128%250),
 		client: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -165,7 +172,7 @@
 
 // dockSettings returns the settings of a dock.
 func (d *deployment) dockSettings(i int) string {
-	return d.commonSettings(fmt.Sprintf("dock-%d", i+1), d.dockIP(i), i, dockMemoryMB) + fmt.Sprintf(`caller_address = "%s:%d"
+	return d.commonSettings(fmt.Sprintf("dock-%d", i+1), d.dockIP(i), i, d.dockMemory) + fmt.Sprintf(`caller_address = "%s:%d"
 readiness_address = "%s:%d"
 repeat_ratio = 0.2
 repeat_slack = 116
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -55,6 +55,7 @@
 	"crowd":     runCrowd,
 	"allotment": runAllotment,
 	"group":     runGroup,
+	"bodies":    runBodies,
 }
 
 func main() { os.Exit(run()) }
