--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -203,29 +203,41 @@
 // classify returns the outcome of the attempt.
 func (a *attempt) classify(reply *sender.Reply, err error) AttemptOutcome {
 	switch {
-	case err == nil && reply.Metadata.NotRun:
-		return AttemptNotRun
-	case err == nil && isSuccess(reply):
-		return AttemptAnswered
 	case err == nil:
-		return AttemptFailed
+		return replyOutcome(reply.Kind())
 	case a.job.query.sending.Err() != nil || errors.Is(err, sender.ErrUnneeded):
 		return AttemptCancelled
 	case errors.Is(err, sender.ErrNotSent):
 		return AttemptNotSent
+	case errors.Is(err, sender.ErrInvalid):
+		return AttemptInvalid
 	default:
 		return AttemptLost
 	}
 }
 
+// replyOutcome returns the outcome of an attempt with a complete reply.
+func replyOutcome(kind sender.ReplyKind) AttemptOutcome {
+	switch kind {
+	case sender.ReplySuccess:
+		return AttemptAnswered
+	case sender.ReplyFailure:
+		return AttemptFailed
+	case sender.ReplyNotRun:
+		return AttemptNotRun
+	case sender.ReplyInvalid:
+	}
+	return AttemptInvalid
+}
+
 // updateSelector passes the attempt's outcome and latency and the server's load to the selector.
 func (a *attempt) updateSelector(now time.Time, flight *selector.InFlightRequest, r attemptResult) {
 	f := a.job.query.forwarder
-	if r.reply != nil {
+	if r.reply != nil && r.outcome != AttemptInvalid {
 		f.observeLimit(now, flight, r.reply.Metadata)
 		f.observeLeaving(now, a.target, r.reply.Metadata)
 	}
-	if r.reply != nil && r.reply.Metadata.IsWrongServer {
+	if r.outcome == AttemptNotRun && r.reply.Metadata.IsWrongServer {
 		f.detachment.monitor.Answered(now)
 		f.selector.Replaced(now, flight)
 		return
@@ -237,6 +249,9 @@
 	case AttemptFailed, AttemptNotRun:
 		f.detachment.monitor.Answered(now)
 		f.selector.Answered(now, flight, true, reportedLoad(r.reply.Metadata))
+	case AttemptInvalid:
+		f.detachment.monitor.Answered(now)
+		f.selector.Answered(now, flight, true, nil)
 	case AttemptNotSent, AttemptLost:
 		a.updateUnanswered(now, flight, r)
 	case AttemptRunning, AttemptDenied, AttemptCancelled:
--- a/internal/forwarder/attemptoutcome_enumer.go
+++ b/internal/forwarder/attemptoutcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _AttemptOutcomeName = "runningansweredfailednot_runnot_sentdeniedlostcancelled"
+const _AttemptOutcomeName = "runningansweredfailednot_runnot_sentdeniedlostinvalidcancelled"
 
-var _AttemptOutcomeIndex = [...]uint8{0, 7, 15, 21, 28, 36, 42, 46, 55}
+var _AttemptOutcomeIndex = [...]uint8{0, 7, 15, 21, 28, 36, 42, 46, 53, 62}
 
-const _AttemptOutcomeLowerName = "runningansweredfailednot_runnot_sentdeniedlostcancelled"
+const _AttemptOutcomeLowerName = "runningansweredfailednot_runnot_sentdeniedlostinvalidcancelled"
 
 func (i AttemptOutcome) String() string {
 	if i >= AttemptOutcome(len(_AttemptOutcomeIndex)-1) {
@@ -24,17 +24,18 @@
 // Re-run the stringer command to generate them again.
 func _AttemptOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[AttemptRunning-0]
-	_ = x[AttemptAnswered-1]
-	_ = x[AttemptFailed-2]
-	_ = x[AttemptNotRun-3]
-	_ = x[AttemptNotSent-4]
-	_ = x[AttemptDenied-5]
-	_ = x[AttemptLost-6]
-	_ = x[AttemptCancelled-7]
+	_ = x[AttemptRunning-(0)]
+	_ = x[AttemptAnswered-(1)]
+	_ = x[AttemptFailed-(2)]
+	_ = x[AttemptNotRun-(3)]
+	_ = x[AttemptNotSent-(4)]
+	_ = x[AttemptDenied-(5)]
+	_ = x[AttemptLost-(6)]
+	_ = x[AttemptInvalid-(7)]
+	_ = x[AttemptCancelled-(8)]
 }
 
-var _AttemptOutcomeValues = []AttemptOutcome{AttemptRunning, AttemptAnswered, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptLost, AttemptCancelled}
+var _AttemptOutcomeValues = []AttemptOutcome{AttemptRunning, AttemptAnswered, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptLost, AttemptInvalid, AttemptCancelled}
 
 var _AttemptOutcomeNameToValueMap = map[string]AttemptOutcome{
 	_AttemptOutcomeName[0:7]:   AttemptRunning,
@@ -44,7 +45,8 @@
 	_AttemptOutcomeName[28:36]: AttemptNotSent,
 	_AttemptOutcomeName[36:42]: AttemptDenied,
 	_AttemptOutcomeName[42:46]: AttemptLost,
-	_AttemptOutcomeName[46:55]: AttemptCancelled,
+	_AttemptOutcomeName[46:53]: AttemptInvalid,
+	_AttemptOutcomeName[53:62]: AttemptCancelled,
 }
 
 var _AttemptOutcomeLowerNameToValueMap = map[string]AttemptOutcome{
@@ -55,7 +57,8 @@
 	_AttemptOutcomeLowerName[28:36]: AttemptNotSent,
 	_AttemptOutcomeLowerName[36:42]: AttemptDenied,
 	_AttemptOutcomeLowerName[42:46]: AttemptLost,
-	_AttemptOutcomeLowerName[46:55]: AttemptCancelled,
+	_AttemptOutcomeLowerName[46:53]: AttemptInvalid,
+	_AttemptOutcomeLowerName[53:62]: AttemptCancelled,
 }
 
 var _AttemptOutcomeNames = []string{
@@ -66,7 +69,8 @@
 	_AttemptOutcomeName[28:36],
 	_AttemptOutcomeName[36:42],
 	_AttemptOutcomeName[42:46],
-	_AttemptOutcomeName[46:55],
+	_AttemptOutcomeName[46:53],
+	_AttemptOutcomeName[53:62],
 }
 
 // AttemptOutcomeString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -7,6 +7,7 @@
 	"banyandock.example/banyandock/internal/encoder"
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/sender"
 )
 
 // CrashStats are figures about requests that crash servers, for metrics.
@@ -88,7 +89,7 @@
 	isComplete := false
 	switch o := o.(type) {
 	case Answer:
-		isComplete = isSuccess(&o.Reply)
+		isComplete = o.Reply.Kind() == sender.ReplySuccess
 	case Gathered:
 		isComplete = o.Missing == 0
 	}
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -74,7 +74,7 @@
 	case AttemptLost:
 		i.hasLostRepeat = i.hasLostRepeat || (i.isActive() && r.attempt.isRepeat)
 		i.hasLost = true
-	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptCancelled:
+	case AttemptRunning, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptInvalid, AttemptCancelled:
 	}
 }
 
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -259,6 +259,8 @@
 		}
 		j.failureReply = r.reply
 		j.reason = ReasonLost
+	case AttemptInvalid:
+		j.reason = ReasonInvalid
 	case AttemptNotRun:
 		j.runs--
 		j.reason = ReasonNotRun
@@ -357,10 +359,5 @@
 
 // isSuccess reports whether a server answered with success.
 func (r result) isSuccess() bool {
-	return r.reply != nil && isSuccess(r.reply)
-}
-
-// isSuccess reports whether a reply has a 2xx status and a stamp, and the server ran the request.
-func isSuccess(r *sender.Reply) bool {
-	return r.Status >= 200 && r.Status < 300 && r.Metadata.Stamp != "" && !r.Metadata.NotRun
+	return r.reply != nil && r.reply.Kind() == sender.ReplySuccess
 }
--- a/internal/forwarder/outcome.go
+++ b/internal/forwarder/outcome.go
@@ -57,6 +57,8 @@
 	// ReasonOtherConfiguration means that another dock may have sent the request to the shards of a
 	// configuration that is not in force here.
 	ReasonOtherConfiguration
+	// ReasonInvalid means that a server may have run the request, and that its reply is no answer.
+	ReasonInvalid
 )
 
 // Outcome is Answer, Gathered, Refused, Failed, NoRoute or Unauthorized.
--- a/internal/forwarder/reason_enumer.go
+++ b/internal/forwarder/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configuration"
+const _ReasonName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configurationinvalid"
 
-var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 114, 125, 135, 148, 151, 170}
+var _ReasonIndex = [...]uint8{0, 4, 20, 29, 36, 42, 51, 55, 63, 70, 81, 88, 97, 106, 114, 125, 135, 148, 151, 170, 177}
 
-const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configuration"
+const _ReasonLowerName = "noneno_configurationno_servernot_runbudgetcongestedlostcoveragetimeoutquarantinedlimitedsuspectedno_senderstoppingcaller_leftover_quotaquota_unknownfarother_configurationinvalid"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -24,28 +24,29 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[ReasonNone-0]
-	_ = x[ReasonNoConfiguration-1]
-	_ = x[ReasonNoServer-2]
-	_ = x[ReasonNotRun-3]
-	_ = x[ReasonBudget-4]
-	_ = x[ReasonCongested-5]
-	_ = x[ReasonLost-6]
-	_ = x[ReasonCoverage-7]
-	_ = x[ReasonTimeout-8]
-	_ = x[ReasonQuarantined-9]
-	_ = x[ReasonLimited-10]
-	_ = x[ReasonSuspected-11]
-	_ = x[ReasonNoSender-12]
-	_ = x[ReasonStopping-13]
-	_ = x[ReasonCallerLeft-14]
-	_ = x[ReasonOverQuota-15]
-	_ = x[ReasonQuotaUnknown-16]
-	_ = x[ReasonFar-17]
-	_ = x[ReasonOtherConfiguration-18]
+	_ = x[ReasonNone-(0)]
+	_ = x[ReasonNoConfiguration-(1)]
+	_ = x[ReasonNoServer-(2)]
+	_ = x[ReasonNotRun-(3)]
+	_ = x[ReasonBudget-(4)]
+	_ = x[ReasonCongested-(5)]
+	_ = x[ReasonLost-(6)]
+	_ = x[ReasonCoverage-(7)]
+	_ = x[ReasonTimeout-(8)]
+	_ = x[ReasonQuarantined-(9)]
+	_ = x[ReasonLimited-(10)]
+	_ = x[ReasonSuspected-(11)]
+	_ = x[ReasonNoSender-(12)]
+	_ = x[ReasonStopping-(13)]
+	_ = x[ReasonCallerLeft-(14)]
+	_ = x[ReasonOverQuota-(15)]
+	_ = x[ReasonQuotaUnknown-(16)]
+	_ = x[ReasonFar-(17)]
+	_ = x[ReasonOtherConfiguration-(18)]
+	_ = x[ReasonInvalid-(19)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonStopping, ReasonCallerLeft, ReasonOverQuota, ReasonQuotaUnknown, ReasonFar, ReasonOtherConfiguration}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfiguration, ReasonNoServer, ReasonNotRun, ReasonBudget, ReasonCongested, ReasonLost, ReasonCoverage, ReasonTimeout, ReasonQuarantined, ReasonLimited, ReasonSuspected, ReasonNoSender, ReasonStopping, ReasonCallerLeft, ReasonOverQuota, ReasonQuotaUnknown, ReasonFar, ReasonOtherConfiguration, ReasonInvalid}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -67,6 +68,7 @@
 	_ReasonName[135:148]: ReasonQuotaUnknown,
 	_ReasonName[148:151]: ReasonFar,
 	_ReasonName[151:170]: ReasonOtherConfiguration,
+	_ReasonName[170:177]: ReasonInvalid,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -89,6 +91,7 @@
 	_ReasonLowerName[135:148]: ReasonQuotaUnknown,
 	_ReasonLowerName[148:151]: ReasonFar,
 	_ReasonLowerName[151:170]: ReasonOtherConfiguration,
+	_ReasonLowerName[170:177]: ReasonInvalid,
 }
 
 var _ReasonNames = []string{
@@ -111,6 +114,7 @@
 	_ReasonName[135:148],
 	_ReasonName[148:151],
 	_ReasonName[151:170],
+	_ReasonName[170:177],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -14,6 +14,7 @@
 	"banyandock.example/banyandock/internal/matcher"
 	"banyandock.example/banyandock/internal/measurer"
 	"banyandock.example/banyandock/internal/recorder"
+	"banyandock.example/banyandock/internal/sender"
 )
 
 const (
@@ -72,7 +73,7 @@
 func summarize(o Outcome) summary {
 	switch o := o.(type) {
 	case Answer:
-		return summary{name: "answered", isComplete: isSuccess(&o.Reply)}
+		return summary{name: "answered", isComplete: o.Reply.Kind() == sender.ReplySuccess}
 	case Gathered:
 		if o.Missing > 0 {
 			return summary{name: outcomePartial, missing: o.Missing}
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -47,6 +47,8 @@
 	AttemptDenied
 	// AttemptLost means that the request was sent but no reply was received.
 	AttemptLost
+	// AttemptInvalid means that the server was reached, but its reply is neither its success nor its failure.
+	AttemptInvalid
 	// AttemptCancelled means that the query's context ended before the reply was received.
 	AttemptCancelled
 )
@@ -85,7 +87,7 @@
 	a := &t.attempts[r.attempt.index]
 	a.elapsed, a.outcome = r.elapsed, r.outcome
 	if r.reply != nil {
-		a.status = r.reply.Status
+		a.status, a.errorText = r.reply.Status, r.reply.Flaw()
 	}
 	if r.err != nil {
 		a.errorText = r.err.Error()
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -75,12 +75,15 @@
 	}
 	for range 1 + maxForeignReplies {
 		reply, staysOpen, err := x.read()
-		if err != nil {
+		switch {
+		case err != nil:
 			return Reply{}, false, fmt.Errorf("%w: read: %w", ErrLost, err)
-		}
-		if reply.Metadata.Request == x.request.ID {
+		case reply.Metadata.Request == x.request.ID:
 			// Buffered bytes after the reply belong to no request, so the connection is closed.
 			return reply, staysOpen && x.connection.reader.Buffered() == 0, nil
+		case reply.Metadata.Request == "":
+			// A late reply to another request has an identifier, so that no other reply follows this one.
+			return Reply{}, false, fmt.Errorf("%w: %w: no identifier", ErrLost, ErrInvalid)
 		}
 		x.sender.foreignReplies.Inc(1)
 		if !staysOpen {
@@ -121,10 +124,10 @@
 	for range 1 + maxInformationalReplies {
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
-			return Reply{}, false, err
+			return Reply{}, false, x.describe(err)
 		}
-		if err := statuschecker.CheckHTTP1(response); err != nil {
-			return Reply{}, false, err
+		if err := checkHead(response); err != nil {
+			return Reply{}, false, fmt.Errorf("%w: %w", ErrInvalid, err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			x.connection.limiter.beginBody()
@@ -133,9 +136,52 @@
 			return reply, staysOpen, err
 		}
 	}
-	return Reply{}, false, eris.New("too many informational replies")
+	return Reply{}, false, eris.Wrap(ErrInvalid, "too many informational replies")
+}
+
+// describe wraps ErrInvalid if a reply could not be read because of its bytes, and not because the connection, the
+// wait or this host's memory ended.
+func (x *exchange) describe(err error) error {
+	var network net.Error
+	isEnd := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+	isOwn := errors.Is(err, reserver.ErrFull) || errors.Is(err, reserver.ErrUnneeded)
+	if isEnd || isOwn || x.ctx.Err() != nil || x.isAborted.Load() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrInvalid, err)
+}
+
+// checkHead returns an error if a reply's head is not valid: its status line, its headers, or how it frames its
+// body. The parser accepts more than may be passed on.
+func checkHead(response *http.Response) error {
+	if err := statuschecker.CheckHTTP1(response); err != nil {
+		return err
+	}
+	for name, values := range response.Header {
+		if strings.ContainsFunc(name, isNoText) || strings.Contains(name, " ") {
+			return eris.Errorf("header %q", name)
+		}
+		for _, v := range values {
+			if strings.ContainsFunc(v, isNoText) {
+				return eris.Errorf("value of the header %q", name)
+			}
+		}
+	}
+	length := response.Header.Get("Content-Length")
+	isEmpty := len(response.TransferEncoding) == 0 && (length == "" || length == "0")
+	if response.StatusCode == http.StatusNoContent && !isEmpty {
+		return eris.New("a body that the status excludes")
+	}
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+	if isUnframed && len(response.Header["Keep-Alive"]) > 0 {
+		return eris.New("a body that ends with a connection that is kept")
+	}
+	return nil
 }
 
+// isNoText reports whether a character is a control character, which no header contains.
+func isNoText(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 // reserveHead reserves the memory of a large head.
 func (x *exchange) reserveHead() error {
 	return x.hold.Reserve(x.ctx, headMemory, reserver.Answer)
@@ -154,10 +200,10 @@
 		err = discard(response.Body)
 	}
 	if errors.Is(err, reserver.ErrTooLarge) {
-		return Reply{}, false, eris.Errorf("reply exceeds %d bytes", maxReplyBytes)
+		return Reply{}, false, eris.Wrapf(ErrInvalid, "reply exceeds %d bytes", maxReplyBytes)
 	}
 	if err != nil {
-		return Reply{}, false, err
+		return Reply{}, false, x.describe(err)
 	}
 	reply := Reply{
 		Status:   response.StatusCode,
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -70,6 +70,9 @@
 	ErrLost = eris.New("reply lost")
 	// ErrUnneeded reports, besides ErrNotSent, that no answer was needed any more.
 	ErrUnneeded = eris.New("no longer needed")
+	// ErrInvalid reports, besides ErrLost, that the server sent bytes that are no reply to the request. The server
+	// was reached and has not ended.
+	ErrInvalid = eris.New("invalid reply")
 	// ErrOverCap reports, besides ErrNotSent or ErrLost, that the server reset a new connection, as it
 	// does with those beyond the number that it accepts. It says nothing of the server's health.
 	ErrOverCap = eris.New("the server resets new connections")
@@ -103,11 +106,12 @@
 // server.
 type ReplyMetadata struct {
 	// Request is the identifier of the request that the reply answers. It is empty if the
-	// reply contains none.
+	// reply contains none or several.
 	Request string
-	// Stamp is the server's signature of its answer.
+	// Stamp is the server's signature of its answer. Several are separated by commas, so that they are no
+	// signature.
 	Stamp string
-	// NotRun is true if the server did not run the request.
+	// NotRun is true if the reply states that the server did not run the request.
 	NotRun bool
 	// IsWrongServer is true if the address belongs to a different server.
 	IsWrongServer bool
@@ -308,7 +312,7 @@
 		x := &exchange{sender: s, connection: c, to: to, request: request, deadline: deadline, ctx: ctx}
 		reply, keep, err := x.run(ctx)
 		err = p.observe(c, err)
-		if err == nil && reply.Metadata.IsLeaving && !reply.Metadata.IsWrongServer {
+		if err == nil && reply.Metadata.IsLeaving && !reply.Metadata.IsWrongServer && reply.Kind() != ReplyInvalid {
 			// Otherwise a request that waits for the connection would be sent over it.
 			s.remove(p)
 		}
