Signatures that other docks pass on are checked, and none counts twice

Callers could get a merged answer that names one signature twice, or whose list of signatures a comma breaks; a dock that takes a request over could hand back a success without a signature.

Cause: what another dock told of a server's reply was believed. A dock of the release before passes on what a server sent. Nothing compared the signatures of two shards.

Change: relayed replies are judged by Reply.Kind again, relayed lists and delegated parts by the rule for signatures. A delegated message with a part that cannot be used counts as lost whole, because its records are merged, and a line is logged.

--- a/internal/forwarder/batch.go
+++ b/internal/forwarder/batch.go
@@ -244,7 +244,7 @@
 	defer b.mutex.Unlock()
 	part := encoder.GatherPart{Index: b.index[r.service], HasRun: r.hasRun}
 	part.IsUnknown = r.reason == ReasonNoServer && !r.hasRun && !b.query.forwarder.selector.Knows(r.service)
-	if r.isSuccess() {
+	if r.isSuccess() && b.query.stamps.add(r.reply.Metadata.Stamp) {
 		part.Stamp = r.reply.Metadata.Stamp
 		b.topRecords.add(r.reply.Body)
 	}
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -14,6 +14,7 @@
 	"banyandock.example/banyandock/internal/identifier"
 	"banyandock.example/banyandock/internal/linker"
 	"banyandock.example/banyandock/internal/matcher"
+	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/sender"
 )
 
@@ -298,6 +299,10 @@
 		return q.handleOwnerError(now, d, reply.err)
 	}
 	d.hasReplied = true
+	if !q.stamps.areUsable(reply.reply.Parts) {
+		q.forwarder.log.Warn().Str(recorder.FieldRequest, q.request.ID).Str(recorder.FieldOwner, string(d.dock.Host)).Msg(recorder.EventInvalidParts)
+		dropStamps(&reply.reply)
+	}
 	q.isolation.hasAnswer = q.isolation.hasAnswer || slices.ContainsFunc(reply.reply.Parts, func(p encoder.GatherPart) bool { return p.Stamp != "" })
 	d.lastReplyElapsed = now.Sub(q.request.Arrived)
 	d.isDone = reply.reply.IsDone
@@ -337,6 +342,15 @@
 	return nil
 }
 
+// dropStamps turns the parts of a reply into lost ones. Their records are merged, so that none of them can be told
+// from those of the part that cannot be used.
+func dropStamps(r *encoder.GatherReply) {
+	for i := range r.Parts {
+		r.Parts[i].HasRun = r.Parts[i].HasRun || r.Parts[i].Stamp != ""
+		r.Parts[i].Stamp = ""
+	}
+}
+
 // handleReplies processes all replies that have arrived. It returns the outcome, or nil if the
 // query goes on.
 func (q *query) handleReplies(now time.Time) Outcome {
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -56,7 +56,7 @@
 }
 
 func (testProtocol) ParseMetadata(status int, header http.Header) sender.ReplyMetadata {
-	f := sender.ReplyMetadata{Request: header.Get("Request"), Stamp: header.Get("Stamp"), NotRun: header.Get("Not-Run") != ""}
+	f := sender.ReplyMetadata{Request: header.Get("Request"), Stamp: strings.Join(header["Stamp"], ", "), NotRun: header.Get("Not-Run") != ""}
 	if status == http.StatusMisdirectedRequest {
 		f.NotRun, f.IsWrongServer = true, true
 	}
--- a/internal/forwarder/detached_test.go
+++ b/internal/forwarder/detached_test.go
@@ -58,12 +58,8 @@
 		d.configure(f, shards)
 		d.docks, d.links = append(d.docks, f), append(d.links, l)
 	}
-	all := []encoder.Dock{}
-	for i := range detachedDocks {
-		all = append(all, encoder.Dock{Host: detachedHost(i), Domain: "one", Address: detachedAddress(i)})
-	}
 	for _, f := range d.docks {
-		f.SetDomainDocks(all)
+		f.SetDomainDocks(d.allDocks())
 	}
 	return d
 }
--- a/internal/forwarder/owners_test.go
+++ b/internal/forwarder/owners_test.go
@@ -72,6 +72,8 @@
 	// is called after that.
 	firstFault fault
 	firstDock  netip.AddrPort
+	// rewrite, if it is set, changes the first replies of docks that gather parts.
+	rewrite func(*encoder.GatherReply)
 }
 
 // Gather passes the request to another dock, subject to the current fault.
@@ -119,6 +121,9 @@
 		if err != nil {
 			return reply, fmt.Errorf("%w: %w", linker.ErrRemote, err)
 		}
+		if c.rewrite != nil {
+			c.rewrite(&reply)
+		}
 		return reply, nil
 	}
 }
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -60,6 +60,8 @@
 	// outcome.
 	jobs      []*job
 	collector collector
+	// stamps are the signatures of the parts that the collector has merged.
+	stamps stampSet
 	// delegations are the groups of shards that other docks send to. Their replies arrive on the
 	// channel replies.
 	delegations []*delegation
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -155,7 +155,7 @@
 	case err == nil && reply.Outcome == encoder.RelayRefused && isLocalReason(reply.Reason):
 		return nil
 	case err == nil:
-		return relayedOutcome(reply)
+		return q.forwarder.relayedOutcome(reply)
 	case isRefusal(err):
 		if !errors.Is(err, linker.ErrFull) {
 			q.forwarder.delegator.MarkSuspect(now, dock)
@@ -222,14 +222,22 @@
 	return reply, err
 }
 
-// relayedOutcome returns the outcome that another dock replied with.
-func relayedOutcome(r encoder.RelayReply) Outcome {
+// relayedOutcome returns the outcome that another dock replied with. That dock may be of an earlier release, which also
+// passes on what is no answer.
+func (f *Forwarder) relayedOutcome(r encoder.RelayReply) Outcome {
 	// An unknown reason, of a newer release, is reported as none.
 	reason, _ := ReasonString(r.Reason)
 	switch r.Outcome {
 	case encoder.RelayAnswered:
-		return Answer{Reply: sender.Reply{Status: r.Status, Header: r.Header, Body: r.Body, Metadata: sender.ReplyMetadata{Stamp: r.Stamp}}}
+		reply := f.sender.Interpret(r.Status, r.Header, r.Body)
+		if kind := reply.Kind(); kind != sender.ReplySuccess && kind != sender.ReplyFailure {
+			return Failed{Reason: ReasonInvalid}
+		}
+		return Answer{Reply: reply}
 	case encoder.RelayGathered:
+		if !areStamps(r.Stamps) {
+			return Failed{Reason: ReasonInvalid}
+		}
 		return Gathered{Stamps: r.Stamps, Missing: r.Missing, Body: r.Body}
 	case encoder.RelayRefused:
 		return Refused{After: r.After, Reason: reason}
--- a/internal/forwarder/scatter.go
+++ b/internal/forwarder/scatter.go
@@ -48,7 +48,7 @@
 // addResult adds one shard's result. It returns an outcome when all shards have a result or the
 // coverage can no longer be reached.
 func (c *scatterCollector) addResult(r result) Outcome {
-	if r.isSuccess() {
+	if r.isSuccess() && c.query.stamps.add(r.reply.Metadata.Stamp) {
 		c.topRecords.add(r.reply.Body)
 		c.stamps = append(c.stamps, r.reply.Metadata.Stamp)
 	} else {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -84,6 +84,8 @@
 	// requests with a fingerprint must not run.
 	EventCrash      = "server crashed"
 	EventQuarantine = "request quarantined"
+	// EventInvalidParts reports that another dock's parts are not used, because a signature is malformed or comes twice.
+	EventInvalidParts = "parts not used"
 	// EventCrashUnconfirmed reports that a server lost a request and is not known to have crashed.
 	EventCrashUnconfirmed = "crash not confirmed"
 	// EventRequestsEnd reports that a stopping dock ends the requests that are still in progress.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -200,6 +200,11 @@
 	WireBytes int64
 }
 
+// Interpret returns the reply of a server that another dock has received and passed on.
+func (s *Sender) Interpret(status int, header http.Header, body []byte) Reply {
+	return Reply{Status: status, Header: header, Body: body, Metadata: s.protocol.ParseMetadata(status, header)}
+}
+
 // Destination is the server to which a request is sent.
 type Destination struct {
 	Address netip.AddrPort
