--- a/internal/connector/reply.go
+++ b/internal/connector/reply.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,26 +34,26 @@
 	Attempt uint32 `json:"attempt"`
 }
 
-// resultBody is the JSON body of a successful reply.
+// resultBody is the JSON body of a successful reply. A success needs each field.
 type resultBody struct {
-	Request string                   `json:"request"`
-	Attempt *uint32                  `json:"attempt"`
-	Version *identifier.IndexVersion `json:"version"`
-	Shard   *identifier.ShardNumber  `json:"shard"`
-	Rows    []rowBody                `json:"rows"`
-	Total   float64                  `json:"total"`
+	Request field[string]                  `json:"request"`
+	Attempt field[uint32]                  `json:"attempt"`
+	Version field[identifier.IndexVersion] `json:"version"`
+	Shard   field[identifier.ShardNumber]  `json:"shard"`
+	Rows    field[[]rowBody]               `json:"rows"`
+	Total   field[float64]                 `json:"total"`
 }
 
-// rowBody is one row of a successful reply.
+// rowBody is one row of a successful reply. A row needs both fields.
 type rowBody struct {
-	Score float64         `json:"score"`
+	Score *float64        `json:"score"`
 	Value json.RawMessage `json:"value"`
 }
 
 // failureBody is the JSON body of a reply whose status is not 200.
 type failureBody struct {
-	Code    string `json:"code"`
-	Started *bool  `json:"started"`
+	Code    string      `json:"code"`
+	Started field[bool] `json:"started"`
 }
 
 // Codes of failure replies.
@@ -121,9 +122,12 @@
 	if !x.matches(reply) {
 		return owner.Result{}, x.badReplyFailure("reply answers a different subrequest")
 	}
-	result := owner.Result{Total: reply.Total}
-	for _, r := range reply.Rows {
-		result.Rows = append(result.Rows, encoder.Row{Score: r.Score, Shard: x.subrequest.Shard.Number, Value: r.Value})
+	if !reply.isComplete() {
+		return owner.Result{}, x.badReplyFailure("reply without its rows or its total")
+	}
+	result := owner.Result{Total: reply.Total.value}
+	for _, r := range reply.Rows.value {
+		result.Rows = append(result.Rows, encoder.Row{Score: *r.Score, Shard: x.subrequest.Shard.Number, Value: r.Value})
 	}
 	return result, nil
 }
@@ -132,10 +136,14 @@
 // subrequest. A reply that omits one of them does not match.
 func (x *exchange) matches(reply resultBody) bool {
 	s := &x.subrequest
-	return reply.Request == s.Request.String() &&
-		reply.Attempt != nil && *reply.Attempt == s.Attempt &&
-		reply.Version != nil && *reply.Version == s.Shard.Version &&
-		reply.Shard != nil && *reply.Shard == s.Shard.Number
+	return reply.Request.is(s.Request.String()) && reply.Attempt.is(s.Attempt) &&
+		reply.Version.is(s.Shard.Version) && reply.Shard.is(s.Shard.Number)
+}
+
+// isComplete reports whether a reply contains a total and rows with all of their fields. Rows that are null are none.
+func (r *resultBody) isComplete() bool {
+	isPartial := func(r rowBody) bool { return r.Score == nil || len(r.Value) == 0 }
+	return r.Rows.isGiven && r.Total.hasValue && !slices.ContainsFunc(r.Rows.value, isPartial)
 }
 
 // badReplyFailure returns the failure for a reply that is malformed or answers another
@@ -155,7 +163,7 @@
 		return f
 	}
 	f.Detail = response.Status + " " + reply.Code
-	f.Started = reply.Started == nil || *reply.Started
+	f.Started = !reply.Started.is(false)
 	if cause, ok := failureCause(response.StatusCode, reply.Code); ok {
 		f.Cause = cause
 	}
@@ -186,7 +194,8 @@
 // malformed, negative or more than an hour.
 func retryAfter(header http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > time.Hour.Seconds() {
+	// The comparisons are false for a value that is not a number.
+	if err != nil || !(seconds >= 0 && seconds <= time.Hour.Seconds()) {
 		return 0
 	}
 	return time.Duration(seconds * float64(time.Second))
