--- a/soak/faults.go
+++ b/soak/faults.go
@@ -51,6 +51,7 @@
 	{"slow a server", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.slowBackend(ctx, r) }},
 	{"limit a server", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.limitBackend(ctx, r) }},
 	{"truncate a server's answers", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.randomBackend(r).FailNext(1 + r.IntN(10)) }},
+	{"spoil a server's answers", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.randomBackend(r).SpoilNext(1 + r.IntN(50)) }},
 	{"a server leaves", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.leave(ctx, r) }},
 	{"replace a server", func(_ context.Context, i *faultInjector, r *rand.Rand) { i.replaceBackend(r) }},
 	{"change the configuration", func(ctx context.Context, i *faultInjector, r *rand.Rand) { i.submit(ctx, r) }},
