--- a/internal/receiver/connections.go
+++ b/internal/receiver/connections.go
@@ -30,9 +30,10 @@
 // connections are the open connections of clients. It answers the load of many clients that
 // connect and send nothing.
 type connections struct {
-	// Set at creation.
-	limit int
-	clock timekeeper.Clock
+	// Set at creation. headLimit bounds heads.
+	limit     int
+	headLimit int64
+	clock     timekeeper.Clock
 	// refusing limits the refused connections that are still open.
 	refusing chan struct{}
 	tasks    sync.WaitGroup
@@ -43,11 +44,13 @@
 	addresses map[netip.Addr]int
 	idle      list.List
 	refused   int64
+	// heads is the memory in bytes of the large heads that are being received.
+	heads int64
 }
 
 // newConnections returns connections with a limit.
-func newConnections(limit int, clock timekeeper.Clock) *connections {
-	return &connections{limit: limit, clock: clock, refusing: make(chan struct{}, maxRefusing), addresses: map[netip.Addr]int{}}
+func newConnections(limit int, headLimit int64, clock timekeeper.Clock) *connections {
+	return &connections{limit: limit, headLimit: headLimit, clock: clock, refusing: make(chan struct{}, maxRefusing), addresses: map[netip.Addr]int{}}
 }
 
 // open returns the number of open connections.
@@ -158,6 +161,10 @@
 	place     *list.Element
 	idleSince time.Time
 	isRemoved bool
+	// headBytes is the part of heads that the connection's head uses.
+	headBytes int64
+
+	head head
 }
 
 // Close closes the connection and makes room for another.
@@ -165,6 +172,10 @@
 	l.connections.mutex.Lock()
 	l.remove()
 	l.connections.mutex.Unlock()
+	if l.head.isRefused.Load() {
+		// The refusal is still being sent.
+		return nil
+	}
 	return l.Conn.Close()
 }
 
@@ -174,6 +185,7 @@
 		return
 	}
 	l.idleSince = now
+	l.beginHead()
 	l.place = l.connections.idle.PushBack(l)
 }
 
@@ -190,6 +202,7 @@
 	}
 	l.isRemoved = true
 	l.endIdle()
+	l.releaseHead()
 	l.connections.count--
 	if l.connections.addresses[l.address]--; l.connections.addresses[l.address] == 0 {
 		delete(l.connections.addresses, l.address)
--- /dev/null
+++ b/internal/receiver/head.go
@@ -0,0 +1,123 @@
+package receiver
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// smallHeadLines is the number of lines of a head whose memory requestBytes covers.
+	smallHeadLines = 32
+	// lineBytes is the memory of a further line: an entry in the map of headers, its name, its value and the list that
+	// holds it, however short they are. The map is copied once while a request is handled.
+	lineBytes = 256
+	// http2Preface is how a connection begins that speaks HTTP/2, whose heads are not lines.
+	http2Preface = "PRI "
+)
+
+// errHeads ends a connection whose head does not fit into the memory for heads.
+var errHeads = eris.New("no memory is left for the heads of requests")
+
+// head follows the head of the request that a connection receives. Only one goroutine at a time reads the connection.
+type head struct {
+	// isReceived is set while the connection carries no head: a handler has the request.
+	isReceived atomic.Bool
+	// lines counts the lines of the head so far.
+	lines atomic.Int64
+	// hasBegun is set after the first bytes of the connection, and isHTTP2 if it speaks HTTP/2.
+	hasBegun, isHTTP2 bool
+	isRefused         atomic.Bool
+}
+
+// Read reads from the connection. The parser of heads keeps each line of a head, also while a client sends it slowly, so
+// that the lines are counted as they come. A client whose head does not fit is refused.
+func (l *limitedConn) Read(b []byte) (int, error) {
+	n, err := l.Conn.Read(b)
+	h := &l.head
+	if !h.hasBegun && n > 0 {
+		h.hasBegun = true
+		h.isHTTP2 = bytes.HasPrefix(b[:n], []byte(http2Preface))
+	}
+	if n == 0 || h.isHTTP2 || h.isReceived.Load() {
+		return n, err
+	}
+	lines := h.lines.Add(int64(bytes.Count(b[:n], []byte{'\n'})))
+	if l.reserveHead((lines - smallHeadLines) * lineBytes) {
+		return n, err
+	}
+	h.isRefused.Store(true)
+	l.connections.refuse(l.Conn)
+	// The server closes a connection without a response of its own after an error of the network.
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeads}
+}
+
+// reserveHead lets the connection's head use some bytes. It returns false if there is no room.
+func (l *limitedConn) reserveHead(size int64) bool {
+	c := l.connections
+	if size <= 0 {
+		return true
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	more := size - l.headBytes
+	if more <= 0 || l.isRemoved {
+		return true
+	}
+	if c.heads+more > c.headLimit {
+		c.refused++
+		return false
+	}
+	c.heads += more
+	l.headBytes += more
+	return true
+}
+
+// beginHead awaits the head of the next request. The caller holds the lock.
+func (l *limitedConn) beginHead() {
+	l.releaseHead()
+	l.head.lines.Store(0)
+	l.head.isReceived.Store(false)
+}
+
+// endHead records that the head has been received. Its memory is part of its request from now on.
+func (l *limitedConn) endHead() {
+	l.head.isReceived.Store(true)
+	l.connections.mutex.Lock()
+	defer l.connections.mutex.Unlock()
+	l.releaseHead()
+}
+
+// releaseHead releases the memory of a head. The caller holds the lock.
+func (l *limitedConn) releaseHead() {
+	l.connections.heads -= l.headBytes
+	l.headBytes = 0
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// withConnection adds a connection to the context of its requests. It is the server's ConnContext hook.
+func withConnection(ctx context.Context, socket net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, socket)
+}
+
+// endHeadOf records that the head of a request has been received.
+func endHeadOf(request *http.Request) {
+	if l, ok := request.Context().Value(connectionKey{}).(*limitedConn); ok {
+		l.endHead()
+	}
+}
+
+// headBytes returns the memory of a request's head and its copy, besides what requestBytes covers.
+func headBytes(header http.Header) int64 {
+	lines := 0
+	for _, values := range header {
+		lines += len(values)
+	}
+	return 2 * lineBytes * int64(max(0, lines-smallHeadLines))
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -23,6 +23,10 @@
 const (
 	// requestBytes is what a request without a body holds: headers, goroutine and buffers.
 	requestBytes = 8 << 10
+	// headsDivisor is the part of the memory for clients that the large heads may use besides while they are received, and
+	// minHeads has room for some of them on any machine.
+	headsDivisor = 4
+	minHeads     = 2 << 20
 	// reportInterval is the least time between two log lines on clients that were refused or closed.
 	reportInterval = 10 * time.Second
 	// lingerTime is how long a refused client may go on sending, so that it reads the refusal before the connection is
@@ -57,7 +61,7 @@
 	r := &Receiver{
 		limits: limits, clock: clock, log: log.With().Str(recorder.FieldClients, name).Logger(),
 		account:      reserver.New(limits.Memory, clock),
-		connections:  newConnections(limits.Connections, clock),
+		connections:  newConnections(limits.Connections, max(minHeads, limits.Memory/headsDivisor), clock),
 		refused:      metrics.GetOrRegisterCounter(name+".refused", registry.Metrics()),
 		slow:         metrics.GetOrRegisterCounter(name+".slow", registry.Metrics()),
 		stop:         make(chan struct{}),
@@ -88,6 +92,7 @@
 func (r *Receiver) Serve(server *http.Server, listener net.Listener) error {
 	server.Handler = &handler{receiver: r, next: server.Handler}
 	server.ConnState = r.connections.observe
+	server.ConnContext = withConnection
 	if server.ErrorLog == nil {
 		server.ErrorLog = log.New(r.log, "", 0)
 	}
@@ -144,6 +149,7 @@
 // ServeHTTP serves one request.
 func (h *handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r := h.receiver
+	endHeadOf(request)
 	from, _ := netip.ParseAddrPort(request.RemoteAddr)
 	t := &transfer{receiver: r, controller: http.NewResponseController(w), writer: w}
 	t.hold = r.account.Open(from, t.evict)
@@ -154,7 +160,7 @@
 		// The server reads what the handler leaves of a body, and would wait for a client that never sends it.
 		_ = t.controller.SetReadDeadline(time.Now().Add(r.limits.Stall))
 	}
-	if err := t.hold.Reserve(request.Context(), requestBytes, reserver.Request); err != nil {
+	if err := t.hold.Reserve(request.Context(), requestBytes+headBytes(request.Header), reserver.Request); err != nil {
 		t.refuse()
 		return
 	}
