--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -299,10 +300,19 @@
 	case <-q.forwarder.ending.ctx.Done():
 		return q.collector.end()
 	case <-q.ctx.Done():
-		return Failed{Reason: ReasonCallerLeft}
+		return q.endWithContext()
 	}
 }
 
+// endWithContext returns the outcome once the query's context has ended. On a host without processor time its deadline
+// is noticed before the time of giveUpAt, although that is earlier; then the caller still waits.
+func (q *query) endWithContext() Outcome {
+	if errors.Is(q.ctx.Err(), context.DeadlineExceeded) {
+		return q.collector.end()
+	}
+	return Failed{Reason: ReasonCallerLeft}
+}
+
 // start starts a job for each service. It returns the outcome, or nil if the query goes on.
 func (q *query) start(services []identifier.ServiceName) Outcome {
 	latency := q.forwarder.latency(q.route.Name)
