--- a/internal/replicator/fulldisk_test.go
+++ b/internal/replicator/fulldisk_test.go
@@ -29,18 +29,28 @@
 	calmTime = 10 * time.Second
 )
 
-// limitedDisk is a disk that takes no more bytes while it is full.
+// limitedDisk is a disk that takes no more bytes while it is full. A snapshot is prepared while entries are appended, so
+// that one operation at a time uses the fakeDisk.
 type limitedDisk struct {
 	*fakeDisk
 	isFull *atomic.Bool
+	mutex  *sync.Mutex
+}
+
+func newLimitedDisk(random *rand.Rand) limitedDisk {
+	return limitedDisk{newFakeDisk(random), &atomic.Bool{}, &sync.Mutex{}}
 }
 
 func (d limitedDisk) Create(name string) (journaler.File, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	f, err := d.fakeDisk.Create(name)
 	return limitedFile{f, d}, err
 }
 
 func (d limitedDisk) Open(name string) (journaler.File, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	f, err := d.fakeDisk.Open(name)
 	if err != nil {
 		return nil, err
@@ -48,24 +58,70 @@
 	return limitedFile{f, d}, nil
 }
 
+func (d limitedDisk) Rename(from, to string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.fakeDisk.Rename(from, to)
+}
+
+func (d limitedDisk) Remove(name string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.fakeDisk.Remove(name)
+}
+
+func (d limitedDisk) SyncFolder() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.fakeDisk.SyncFolder()
+}
+
 // limitedFile is a file of a limitedDisk.
 type limitedFile struct {
-	journaler.File
+	file journaler.File
 	disk limitedDisk
 }
 
+func (f limitedFile) ReadAt(b []byte, offset int64) (int, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	return f.file.ReadAt(b, offset)
+}
+
 // WriteAt writes a part of the bytes if the disk is full.
 func (f limitedFile) WriteAt(b []byte, offset int64) (int, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
 	if !f.disk.isFull.Load() {
-		return f.File.WriteAt(b, offset)
+		return f.file.WriteAt(b, offset)
 	}
-	n, err := f.File.WriteAt(b[:f.disk.random.IntN(len(b)+1)], offset)
+	n, err := f.file.WriteAt(b[:f.disk.random.IntN(len(b)+1)], offset)
 	if err != nil {
 		return n, err
 	}
 	return n, syscall.ENOSPC
 }
 
+func (f limitedFile) Truncate(size int64) error {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	return f.file.Truncate(size)
+}
+
+func (f limitedFile) Sync() error {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	return f.file.Sync()
+}
+
+func (f limitedFile) Size() (int64, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	return f.file.Size()
+}
+
+func (f limitedFile) Close() error { return f.file.Close() }
+
 // keptMember is a member that is opened again after its storage failed, as a keeper does.
 type keptMember struct {
 	group  *group
@@ -159,7 +215,7 @@
 	members := sync.WaitGroup{}
 	disks := []limitedDisk{}
 	for _, m := range g.initial {
-		d := limitedDisk{newFakeDisk(rand.New(rand.NewPCG(seed, uint64(m.Address.Port())))), &atomic.Bool{}}
+		d := newLimitedDisk(rand.New(rand.NewPCG(seed, uint64(m.Address.Port()))))
 		disks = append(disks, d)
 		members.Go((&keptMember{group: g, member: m, disk: d, stop: stop}).run)
 	}
