--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -8,37 +8,30 @@
 	"banyandock.example/banyandock/internal/locator"
 	"banyandock.example/banyandock/internal/recorder"
 	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/suspector"
 )
 
 // CrashStats are figures about requests that crash servers, for metrics.
 type CrashStats struct {
-	// Quarantined is the number of fingerprints that must not run, and Suspects of those with crashes
-	// that have not been answered since.
-	Quarantined int
-	Suspects    int
-	// Crashes counts the crashes that were recorded since the start, once for each fingerprint.
-	Crashes int
+	suspector.Stats
 	// Unanswered are the figures about requests that servers have not answered.
 	Unanswered accuser.Stats
 }
 
 // CrashStats returns the current figures.
 func (f *Forwarder) CrashStats() CrashStats {
-	c := f.crashTracker
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return CrashStats{Quarantined: len(c.quarantinedUntil), Suspects: len(c.suspects), Crashes: c.crashCount, Unanswered: f.accuser.Stats()}
+	return CrashStats{Stats: f.suspector.Stats(), Unanswered: f.accuser.Stats()}
 }
 
 // CrashReport returns what this dock holds against requests, and a version that changes with it.
 func (f *Forwarder) CrashReport() (encoder.CrashReport, uint64) {
-	return f.crashTracker.report(f.clock.Now())
+	return f.suspector.Report(f.clock.Now())
 }
 
 // SetQuarantines adds the quarantines that a keeper knows of. The requests must not run until their
 // quarantine ends, or run isolated if no time remains.
 func (f *Forwarder) SetQuarantines(list []encoder.Quarantine) {
-	for _, q := range f.crashTracker.setQuarantines(f.clock.Now(), list) {
+	for _, q := range f.suspector.SetQuarantines(f.clock.Now(), list) {
 		f.logQuarantine(q)
 	}
 }
@@ -59,7 +52,7 @@
 		return
 	}
 	for _, one := range r.Fingerprints {
-		isQuarantined := f.crashTracker.recordCrash(f.clock.Now(), locator.Crash{
+		isQuarantined := f.suspector.RecordCrash(f.clock.Now(), locator.Crash{
 			Crash: encoder.Crash{
 				Fingerprint: one, Request: r.Request, Server: r.Server, Service: r.Service,
 				IsRepeat: r.IsRepeat, IsPartial: r.IsAnsweredElsewhere.Load(),
@@ -72,7 +65,7 @@
 	}
 	if r.IsAnswered.Load() {
 		// The answer arrived while the crash was recorded.
-		f.crashTracker.recordAnswer(r.Fingerprints, r.Service)
+		f.suspector.RecordAnswer(r.Fingerprints, r.Service)
 	}
 }
 
@@ -80,7 +73,7 @@
 func (j *job) recordAnswer() {
 	j.query.wasAnswered.Store(true)
 	if j.wasAnswered.CompareAndSwap(false, true) {
-		j.query.forwarder.crashTracker.recordAnswer(j.query.fingerprints.list(), j.service)
+		j.query.forwarder.suspector.RecordAnswer(j.query.fingerprints.list(), j.service)
 	}
 }
 
@@ -94,6 +87,6 @@
 		isComplete = o.Missing == 0
 	}
 	if isComplete && len(q.relayHosts) == 0 {
-		q.forwarder.crashTracker.recordSuccess(q.fingerprints.list())
+		q.forwarder.suspector.RecordSuccess(q.fingerprints.list())
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"banyandock.example/banyandock/internal/reserver"
 	"banyandock.example/banyandock/internal/selector"
 	"banyandock.example/banyandock/internal/sender"
+	"banyandock.example/banyandock/internal/suspector"
 	"banyandock.example/banyandock/internal/timekeeper"
 )
 
@@ -127,8 +128,8 @@
 	// delegator assigns the shards to the docks that send to them.
 	delegator *delegator.Delegator
 	// lastQuery is the number of the last query that was delegated.
-	lastQuery    atomic.Uint64
-	crashTracker *crashTracker
+	lastQuery atomic.Uint64
+	suspector *suspector.Suspector
 	// accuser holds the requests that servers have not answered, and endChecker checks whether these
 	// servers have ended.
 	accuser    *accuser.Accuser
@@ -189,7 +190,7 @@
 		random:           rand.New(rand.NewPCG(settings.Seed, admissionStream)),
 		routeStates:      map[matcher.RouteName]*routeState{},
 		batches:          map[batchKey]*batch{},
-		crashTracker:     newCrashTracker(),
+		suspector:        suspector.New(),
 		accuser:          accuser.New(),
 		host:             settings.Host,
 		peers:            settings.Peers,
--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyandock.example/banyandock/internal/identifier"
+	"banyandock.example/banyandock/internal/suspector"
 )
 
 // defaultIsolationWait is how long a lost shard waits for the first answer of another one if the
@@ -26,8 +27,8 @@
 // isolation keeps a query whose request may crash servers from reaching more than one of them at a
 // time. A request that a server has answered crashes none. Only the query's goroutine accesses it.
 type isolation struct {
-	// suspicion is what was known when the query began.
-	suspicion
+	// Suspicion is what was known when the query began.
+	suspector.Suspicion
 	// hasLost is set after a server has lost the request, hasRetried after it was sent again since,
 	// and hasAnswer after a server has answered it.
 	hasLost    bool
@@ -47,10 +48,10 @@
 }
 
 // isActive reports whether the request may run on one server at a time only.
-func (i *isolation) isActive() bool { return (i.isSuspect || i.hasLost) && !i.hasAnswer }
+func (i *isolation) isActive() bool { return (i.IsSuspect || i.hasLost) && !i.hasAnswer }
 
 // isInTrial reports whether the request is sent to find out whether it crashes servers.
-func (i *isolation) isInTrial() bool { return i.isTrial && !i.hasAnswer }
+func (i *isolation) isInTrial() bool { return i.IsTrial && !i.hasAnswer }
 
 // mustWait reports whether a retry after a loss must wait for the result of another attempt.
 func (i *isolation) mustWait(now time.Time) bool {
@@ -62,7 +63,7 @@
 func (i *isolation) begin() bool {
 	i.inFlight++
 	i.hasRetried = i.hasRetried || i.hasLost
-	return i.isSuspect || i.hasLost
+	return i.IsSuspect || i.hasLost
 }
 
 // end records the result of an attempt.
@@ -84,7 +85,7 @@
 func (q *query) begin(services []identifier.ServiceName) Outcome {
 	f := q.forwarder
 	now := f.clock.Now()
-	if f.crashTracker.quarantineRemaining(now, q.fingerprints) > 0 {
+	if f.suspector.QuarantineRemaining(now, q.fingerprints.list()) > 0 {
 		return q.failServices(services, ReasonLost)
 	}
 	services, o := q.acquireTokens(services)
@@ -96,9 +97,9 @@
 		wait = defaultIsolationWait
 	}
 	q.isolation.retryWaitsUntil = now.Add(wait)
-	known := f.crashTracker.suspicionOf(now, q.fingerprints)
-	q.isolation.suspicion = known
-	if !known.isSuspect || len(services) < 2 {
+	known := f.suspector.Suspicion(now, q.fingerprints.list())
+	q.isolation.Suspicion = known
+	if !known.IsSuspect || len(services) < 2 {
 		return q.send(services)
 	}
 	first := q.firstService(now, known, services)
@@ -109,9 +110,9 @@
 }
 
 // firstService returns the service that a suspected request is sent to first.
-func (q *query) firstService(now time.Time, known suspicion, services []identifier.ServiceName) identifier.ServiceName {
-	if slices.Contains(services, known.service) && q.forwarder.selector.HasReachable(known.service, now) {
-		return known.service
+func (q *query) firstService(now time.Time, known suspector.Suspicion, services []identifier.ServiceName) identifier.ServiceName {
+	if slices.Contains(services, known.Service) && q.forwarder.selector.HasReachable(known.Service, now) {
+		return known.Service
 	}
 	return q.trialService(now, services)
 }
--- a/internal/forwarder/preview.go
+++ b/internal/forwarder/preview.go
@@ -82,7 +82,7 @@
 func (p *preview) run() {
 	f, q := p.forwarder, p.query
 	p.describeCustomer()
-	p.reply.Quarantine = f.crashTracker.quarantineRemaining(p.now, q.fingerprints)
+	p.reply.Quarantine = f.suspector.QuarantineRemaining(p.now, q.fingerprints.list())
 	p.reply.Services = len(q.services())
 	if o := q.refuseUnfit(p.now); o != nil {
 		p.refuse(o)
@@ -176,10 +176,10 @@
 	q := p.query
 	q.collector = c
 	services = p.dropLimited(services)
-	known := p.forwarder.crashTracker.suspicionOf(p.now, q.fingerprints)
-	q.isolation.suspicion = known
-	p.reply.IsSuspect = known.isSuspect
-	if !known.isSuspect || len(services) < 2 {
+	known := p.forwarder.suspector.Suspicion(p.now, q.fingerprints.list())
+	q.isolation.Suspicion = known
+	p.reply.IsSuspect = known.IsSuspect
+	if !known.IsSuspect || len(services) < 2 {
 		p.send(services)
 		return
 	}
--- a/internal/forwarder/query.go
+++ b/internal/forwarder/query.go
@@ -212,7 +212,7 @@
 // returns nil for others.
 func (q *query) refuseUnfit(now time.Time) Outcome {
 	f := q.forwarder
-	if quarantineRemaining := f.crashTracker.quarantineRemaining(now, q.fingerprints); quarantineRemaining > 0 {
+	if quarantineRemaining := f.suspector.QuarantineRemaining(now, q.fingerprints.list()); quarantineRemaining > 0 {
 		return Refused{After: quarantineRemaining, Reason: ReasonQuarantined}
 	}
 	if f.cannotEnd(q.route) {
@@ -280,7 +280,7 @@
 	if (q.isolation.hasLostRepeat || j.hasLostRepeat) && len(q.services()) > 1 {
 		return true
 	}
-	return q.isolation.hasLost && q.forwarder.crashTracker.quarantineRemaining(now, q.fingerprints) > 0
+	return q.isolation.hasLost && q.forwarder.suspector.QuarantineRemaining(now, q.fingerprints.list()) > 0
 }
 
 // wait handles the next event. It returns the outcome, or nil if the query goes on.
