--- a/internal/forwarder/spoilt_test.go
+++ b/internal/forwarder/spoilt_test.go
@@ -158,3 +158,25 @@
 	assert.Equal(t, stats.Quarantined+stats.Suspects+stats.Crashes, 0)
 	assert.Assert(t, !d.forwarder.IsDetached())
 }
+
+// TestNothingOfAnInvalidReplyIsBelieved guards against a limit or a notice of leaving that comes with a reply which is no
+// answer, and against repeats of such a request beyond the repeat budget.
+func TestNothingOfAnInvalidReplyIsBelieved(t *testing.T) {
+	d := newDeployment(t, noRepeatBudget)
+	isLeaving := false
+	d.forwarder.OnLeaving(func(encoder.Registration) { isLeaving = true })
+	unsigned := func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Limit", "0")
+		w.Header().Set("Leaving", "1")
+		_, _ = io.WriteString(w, "text")
+	}
+	d.addServer("plates", "a", unsigned)
+	d.addServer("plates", "b", unsigned)
+	d.setRoute(matcher.Route{Destination: toPlates, Idempotent: true})
+	const requests = 10
+	for range requests {
+		assert.Equal(t, expect[forwarder.Failed](t, d.get()).Reason, forwarder.ReasonInvalid)
+	}
+	assert.Equal(t, d.totalRequests(), requests)
+	assert.Assert(t, !isLeaving)
+}
