--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -245,6 +246,39 @@
 	assert.Assert(t, !r.HasReleased(claim(testKey(time.Minute), 1, 1)))
 }
 
+// TestRestartedKeeperRemembersReleases guards against a late claim that is granted by a keeper which was started again
+// after more releases of the key than its entry stores. Snapshots of the release before have none, and that release
+// reads the snapshots of this one.
+func TestRestartedKeeperRemembersReleases(t *testing.T) {
+	for _, releases := range []int{0, 1, releasedPerEntry + 1, maxReleases + 7} {
+		r, key := New(nil), testKey(0)
+		for holder := range releases {
+			q := settle(key, holder+1)
+			q.Released = true
+			expectSettle(t, r, q, encoder.SettleAccepted)
+		}
+		snapshot, err := r.Snapshot()
+		assert.NilError(t, err)
+		restarted := New(nil)
+		assert.NilError(t, restarted.Restore(snapshot))
+		for holder := range releases {
+			q := claim(key, 1, holder+1)
+			assert.Equal(t, restarted.HasReleased(q), r.HasReleased(q), "%d of %d", holder, releases)
+		}
+		again, err := restarted.Snapshot()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, snapshot)
+
+		known := r.releases
+		r.releases = newReleases()
+		former, err := r.Snapshot()
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.HasPrefix(snapshot, former), "the release before reads this far")
+		assert.NilError(t, restarted.Restore(former))
+		assert.Equal(t, len(restarted.releases.known), len(known.known), "what is known is kept")
+	}
+}
+
 // TestRefusedReleasesAreNotRemembered releases a claim that has been settled, which the ledger refuses.
 func TestRefusedReleasesAreNotRemembered(t *testing.T) {
 	r, key := New(func(string, string) {}), testKey(0)
--- a/internal/registrar/snapshot.go
+++ b/internal/registrar/snapshot.go
@@ -15,7 +15,7 @@
 
 // snapshotHeader is the first part of a snapshot. The ledger's entries follow, ordered by bucket
 // and, within a bucket, in the order in which the log added them. So equal logs give equal bytes
-// without sorting the entries.
+// without sorting the entries. The remembered releases follow, unless there are none.
 type snapshotHeader struct {
 	Manifest      encoder.ManifestText
 	History       []acceptedManifest
@@ -50,6 +50,9 @@
 			}
 		}
 	}
+	if err := r.releases.encode(encoding); err != nil {
+		return nil, eris.Wrap(err, "encode snapshot")
+	}
 	return b.Bytes(), nil
 }
 
@@ -81,8 +84,15 @@
 			return eris.Wrapf(ErrMalformedSnapshot, "%v", err)
 		}
 	}
+	releases, hasReleases, err := decodeReleases(decoding)
+	if err != nil {
+		return eris.Wrapf(ErrMalformedSnapshot, "%v", err)
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if hasReleases {
+		r.releases = releases
+	}
 	r.register.current = header.Manifest
 	r.register.history = header.History
 	r.ledger = l
