--- a/internal/receiver/head.go
+++ b/internal/receiver/head.go
@@ -29,9 +29,23 @@
 	isReceived atomic.Bool
 	// lines counts the lines of the head so far.
 	lines atomic.Int64
-	// hasBegun is set after the first bytes of the connection, and isHTTP2 if it speaks HTTP/2.
-	hasBegun, isHTTP2 bool
-	isRefused         atomic.Bool
+	// preface counts the bytes of http2Preface that the connection began with.
+	preface   int
+	isHTTP1   bool
+	isRefused atomic.Bool
+}
+
+// observePreface compares the first bytes of a connection with those of HTTP/2. It reports whether the connection speaks
+// HTTP/2.
+func (h *head) observePreface(b []byte) bool {
+	for _, c := range b {
+		if h.isHTTP1 || h.preface == len(http2Preface) {
+			break
+		}
+		h.isHTTP1 = c != http2Preface[h.preface]
+		h.preface++
+	}
+	return !h.isHTTP1 && h.preface == len(http2Preface)
 }
 
 // Read reads from the connection. The parser of heads keeps each line of a head, also while a client sends it slowly, so
@@ -39,11 +53,7 @@
 func (l *limitedConn) Read(b []byte) (int, error) {
 	n, err := l.Conn.Read(b)
 	h := &l.head
-	if !h.hasBegun && n > 0 {
-		h.hasBegun = true
-		h.isHTTP2 = bytes.HasPrefix(b[:n], []byte(http2Preface))
-	}
-	if n == 0 || h.isHTTP2 || h.isReceived.Load() {
+	if n == 0 || h.observePreface(b[:n]) || h.isReceived.Load() {
 		return n, err
 	}
 	lines := h.lines.Add(int64(bytes.Count(b[:n], []byte{'\n'})))
--- a/internal/receiver/head_test.go
+++ b/internal/receiver/head_test.go
@@ -73,3 +73,17 @@
 	lines := strings.Repeat("\n", legalBody/2)
 	assert.Equal(t, send(t, address, 10*time.Millisecond, legalBody, lines, lines), http.StatusOK)
 }
+
+// TestPrefaceOfHTTP2 guards against the lines of heads being counted in the frames of HTTP/2.
+func TestPrefaceOfHTTP2(t *testing.T) {
+	for pieces, want := range map[string]bool{
+		"PRI * HTTP/2.0": true, "P|RI| |* HTTP/2.0\n": true, "PUT / HTTP/1.1": false, "P|UT /": false, "GET /": false, "PRIVATE /": false, "PRI": false,
+	} {
+		h := head{}
+		isHTTP2 := false
+		for _, piece := range strings.Split(pieces, "|") {
+			isHTTP2 = h.observePreface([]byte(piece))
+		}
+		assert.Equal(t, isHTTP2, want, pieces)
+	}
+}
