The lines of a body that comes with its head are not counted as lines of the head

A request whose body begins with many line feeds in the bytes that also hold the end of its head reserved memory for them until its handler began, and could be refused for want of memory. The empty line ends the count now.

Evidence: the second half of TestLinesOfBodiesAreNoHeads, for each size of the pieces in which the bytes come.

--- a/internal/receiver/head.go
+++ b/internal/receiver/head.go
@@ -25,10 +25,11 @@
 
 // head follows the head of the request that a connection receives. Only one goroutine at a time reads the connection.
 type head struct {
-	// isReceived is set while the connection carries no head: a handler has the request.
+	// isReceived is set while the connection carries no head: a handler has the request, or is about to.
 	isReceived atomic.Bool
-	// lines counts the lines of the head so far.
-	lines atomic.Int64
+	// lines counts the lines of the head so far, and hasText is set if there are bytes of the next one.
+	lines   atomic.Int64
+	hasText atomic.Bool
 	// preface counts the bytes of http2Preface that the connection began with.
 	preface   int
 	isHTTP1   bool
@@ -48,6 +49,25 @@
 	return !h.isHTTP1 && h.preface == len(http2Preface)
 }
 
+// countLines counts the lines of the head among some bytes. An empty line ends the head, and what follows is a body.
+func (h *head) countLines(b []byte) {
+	for {
+		line, rest, isWhole := bytes.Cut(b, []byte{'\n'})
+		if len(line) > 0 && (h.hasText.Load() || !bytes.Equal(line, []byte{'\r'})) {
+			h.hasText.Store(true)
+		}
+		if !isWhole {
+			return
+		}
+		if !h.hasText.Swap(false) {
+			h.isReceived.Store(true)
+			return
+		}
+		h.lines.Add(1)
+		b = rest
+	}
+}
+
 // Read reads from the connection. The parser of heads keeps each line of a head, also while a client sends it slowly, so
 // that the lines are counted as they come. A client whose head does not fit is refused.
 func (l *limitedConn) Read(b []byte) (int, error) {
@@ -56,8 +76,8 @@
 	if n == 0 || h.observePreface(b[:n]) || h.isReceived.Load() {
 		return n, err
 	}
-	lines := h.lines.Add(int64(bytes.Count(b[:n], []byte{'\n'})))
-	if l.reserveHead((lines - smallHeadLines) * lineBytes) {
+	h.countLines(b[:n])
+	if l.reserveHead((h.lines.Load() - smallHeadLines) * lineBytes) {
 		return n, err
 	}
 	h.isRefused.Store(true)
@@ -91,6 +111,7 @@
 func (l *limitedConn) beginHead() {
 	l.releaseHead()
 	l.head.lines.Store(0)
+	l.head.hasText.Store(false)
 	l.head.isReceived.Store(false)
 }
 
--- a/internal/receiver/head_test.go
+++ b/internal/receiver/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -67,11 +68,23 @@
 	assert.Equal(t, r.connections.heads, int64(0))
 }
 
-// TestLinesOfBodiesAreNoHeads guards against a request that is refused because its body has many lines.
+// TestLinesOfBodiesAreNoHeads guards against a request that is refused because its body has many lines, which may come with
+// the head.
 func TestLinesOfBodiesAreNoHeads(t *testing.T) {
 	_, address := serve(t, Limits{Memory: 6 << 20, Connections: 100, Stall: time.Second, MinRate: 8 << 10}, echo(0))
 	lines := strings.Repeat("\n", legalBody/2)
 	assert.Equal(t, send(t, address, 10*time.Millisecond, legalBody, lines, lines), http.StatusOK)
+	const text = "GET / HTTP/1.1\r\nHost: a\r\nx:\n\r\n"
+	for size := 1; size <= len(text)+5; size++ {
+		h := head{}
+		for piece := range slices.Chunk([]byte(text+"\n\n\r\n\n\n"), size) {
+			if !h.isReceived.Load() {
+				h.countLines(piece)
+			}
+		}
+		assert.Equal(t, h.lines.Load(), int64(3), "in pieces of %d bytes", size)
+		assert.Assert(t, h.isReceived.Load())
+	}
 }
 
 // TestPrefaceOfHTTP2 guards against the lines of heads being counted in the frames of HTTP/2.
