--- a/internal/forwarder/attemptoutcome_enumer.go
+++ b/internal/forwarder/attemptoutcome_enumer.go
@@ -24,15 +24,15 @@
 // Re-run the stringer command to generate them again.
 func _AttemptOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[AttemptRunning-(0)]
-	_ = x[AttemptAnswered-(1)]
-	_ = x[AttemptFailed-(2)]
-	_ = x[AttemptNotRun-(3)]
-	_ = x[AttemptNotSent-(4)]
-	_ = x[AttemptDenied-(5)]
-	_ = x[AttemptLost-(6)]
-	_ = x[AttemptInvalid-(7)]
-	_ = x[AttemptCancelled-(8)]
+	_ = x[AttemptRunning-0]
+	_ = x[AttemptAnswered-1]
+	_ = x[AttemptFailed-2]
+	_ = x[AttemptNotRun-3]
+	_ = x[AttemptNotSent-4]
+	_ = x[AttemptDenied-5]
+	_ = x[AttemptLost-6]
+	_ = x[AttemptInvalid-7]
+	_ = x[AttemptCancelled-8]
 }
 
 var _AttemptOutcomeValues = []AttemptOutcome{AttemptRunning, AttemptAnswered, AttemptFailed, AttemptNotRun, AttemptNotSent, AttemptDenied, AttemptLost, AttemptInvalid, AttemptCancelled}
--- a/internal/forwarder/cause_enumer.go
+++ b/internal/forwarder/cause_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _CauseNoOp() {
 	var x [1]struct{}
-	_ = x[CauseFirst-(0)]
-	_ = x[CauseHedge-(1)]
-	_ = x[CauseRetry-(2)]
+	_ = x[CauseFirst-0]
+	_ = x[CauseHedge-1]
+	_ = x[CauseRetry-2]
 }
 
 var _CauseValues = []Cause{CauseFirst, CauseHedge, CauseRetry}
--- a/internal/forwarder/evidence_enumer.go
+++ b/internal/forwarder/evidence_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _evidenceNoOp() {
 	var x [1]struct{}
-	_ = x[evidenceRefused-(0)]
-	_ = x[evidenceDirectory-(1)]
-	_ = x[evidenceReplaced-(2)]
+	_ = x[evidenceRefused-0]
+	_ = x[evidenceDirectory-1]
+	_ = x[evidenceReplaced-2]
 }
 
 var _evidenceValues = []evidence{evidenceRefused, evidenceDirectory, evidenceReplaced}
--- a/internal/forwarder/ownerfailure_enumer.go
+++ b/internal/forwarder/ownerfailure_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _ownerFailureNoOp() {
 	var x [1]struct{}
-	_ = x[ownerFailureNone-(0)]
-	_ = x[ownerFailureRefused-(1)]
-	_ = x[ownerFailureLost-(2)]
-	_ = x[ownerFailureSilent-(3)]
+	_ = x[ownerFailureNone-0]
+	_ = x[ownerFailureRefused-1]
+	_ = x[ownerFailureLost-2]
+	_ = x[ownerFailureSilent-3]
 }
 
 var _ownerFailureValues = []ownerFailure{ownerFailureNone, ownerFailureRefused, ownerFailureLost, ownerFailureSilent}
--- a/internal/sender/limitstate_enumer.go
+++ b/internal/sender/limitstate_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _LimitStateNoOp() {
 	var x [1]struct{}
-	_ = x[LimitAbsent-(0)]
-	_ = x[LimitNamed-(1)]
-	_ = x[LimitUnreadable-(2)]
+	_ = x[LimitAbsent-0]
+	_ = x[LimitNamed-1]
+	_ = x[LimitUnreadable-2]
 }
 
 var _LimitStateValues = []LimitState{LimitAbsent, LimitNamed, LimitUnreadable}
--- a/internal/sender/replykind_enumer.go
+++ b/internal/sender/replykind_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _ReplyKindNoOp() {
 	var x [1]struct{}
-	_ = x[ReplyInvalid-(0)]
-	_ = x[ReplySuccess-(1)]
-	_ = x[ReplyFailure-(2)]
-	_ = x[ReplyNotRun-(3)]
+	_ = x[ReplyInvalid-0]
+	_ = x[ReplySuccess-1]
+	_ = x[ReplyFailure-2]
+	_ = x[ReplyNotRun-3]
 }
 
 var _ReplyKindValues = []ReplyKind{ReplyInvalid, ReplySuccess, ReplyFailure, ReplyNotRun}
--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 : "${SYSTEM:?the folder of the platform pages}"
-BENCH=${BENCH:-$SYSTEM/more/bench-d17393/bin/fleetbench}
+BENCH=${BENCH:-$SYSTEM/bin/fleetbench}
 JOBS=${JOBS:-3}
 WHY=${WHY:-regression run}
 OUT=out/regression
@@ -18,8 +18,6 @@
 grown/pladevaerk-search-grown.toml 8
 grown/virkesauktion-sok-grown.toml 8
 large/pladevaerk-search-large.toml 8
-further/curam-banyandock.toml 40
-further-grown/curam-banyandock-grown.toml 8
 demands/calverley-lists-grown.toml 8
 demands/ffp-banyandock-grown.toml 8
 "
